--- /dev/null
+++ b/core/src/main/java/io/moorstage/core/transparent/AgentActions.java
@@ -0,0 +1,20 @@
+package io.moorstage.core.transparent;
+
+import java.nio.ByteBuffer;
+
+/** What an agent's decisions lead to. Calls come under a lock and must not block. */
+public interface AgentActions {
+
+  /** Hands a client's segment to the target. */
+  void deliver(ByteBuffer datagram);
+
+  /** Sends a target's segment to its client. */
+  void sendToClient(FlowId flow, ByteBuffer datagram);
+
+  /** Gives a client's segment back to the balancer that sent it. */
+  void giveBack(
+      int balancerAddress, ReturnReason reason, long configurationVersion, ByteBuffer datagram);
+
+  /** Sends a reset to a flow's client. */
+  void reset(FlowId flow, int sequence);
+}
--- /dev/null
+++ b/core/src/main/java/io/moorstage/core/transparent/AgentFlow.java
@@ -0,0 +1,46 @@
+package io.moorstage.core.transparent;
+
+import javax.annotation.Nullable;
+
+/** What an agent remembers of one flow. Guarded by the lock of {@link FlowAgent}. */
+final class AgentFlow {
+
+  /** How far the flow is. */
+  enum Stage {
+    /** The opening segment went to the target, which has not answered. */
+    OPENING,
+    /** The target has accepted; the client may go on here or at another target. */
+    ACCEPTED,
+    /** The target has gone on after the opening: it holds the flow. */
+    OPEN,
+    /** A segment of a flow of unknown place went to the target, which has not answered. */
+    OFFERED,
+    /** The opening segment was given back; what the target answers late is not passed on. */
+    WITHDRAWN,
+    /** The target held the flow and has lost it. */
+    LOST
+  }
+
+  final FlowId id;
+  Stage stage;
+  int balancerAddress;
+  long openedAtMs;
+  long lastUsedMs;
+
+  /** Whether a request is in progress, as far as the direction of data tells. */
+  boolean busy;
+
+  /** Whether either end has closed or broken off the flow. */
+  boolean closed;
+
+  /** The opening segment, as long as the target has not answered it. */
+  @Nullable byte[] openSegment;
+
+  AgentFlow(FlowId id, Stage stage, int balancerAddress, long nowMs) {
+    this.id = id;
+    this.stage = stage;
+    this.balancerAddress = balancerAddress;
+    this.openedAtMs = nowMs;
+    this.lastUsedMs = nowMs;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/moorstage/core/transparent/BalancerFlow.java
@@ -0,0 +1,82 @@
+package io.moorstage.core.transparent;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import javax.annotation.Nullable;
+
+/** What a balancer remembers of one flow. Guarded by the lock of {@link FlowBalancer}. */
+final class BalancerFlow {
+  final FlowId id;
+  final String service;
+
+  /** Where the flow's segments go; null while the place is unknown. */
+  @Nullable TargetSlot target;
+
+  /** Targets that got the opening segment and gave it back or left it unanswered. */
+  final List<TargetSlot> tried = new ArrayList<>(0);
+
+  /** Opening segments that were sent to targets and that no agent has given back. */
+  int unreturnedOpens;
+
+  long openedAtMs;
+  long lastUsedMs;
+  boolean closed;
+
+  /** Whether the client has gone on after the opening, so that a target has answered. */
+  boolean answered;
+
+  @Nullable Location location;
+
+  BalancerFlow(FlowId id, String service, long nowMs) {
+    this.id = id;
+    this.service = service;
+    this.openedAtMs = nowMs;
+    this.lastUsedMs = nowMs;
+  }
+
+  void moveTo(@Nullable TargetSlot next) {
+    if (target == next) {
+      return;
+    }
+    if (target != null && !closed) {
+      target.removeFlow();
+    }
+    target = next;
+    if (next != null && !closed) {
+      next.addFlow();
+    }
+  }
+
+  void close() {
+    if (!closed) {
+      if (target != null) {
+        target.removeFlow();
+      }
+      closed = true;
+    }
+  }
+
+  /** The search for a flow whose place is unknown. */
+  static final class Location {
+    final List<byte[]> held = new ArrayList<>(2);
+    final List<TargetSlot> unanswered;
+    final List<TargetSlot> candidates = new ArrayList<>(0);
+    int acknowledged;
+    long deadlineMs;
+    @Nullable TargetSlot offeredTo;
+
+    Location(List<TargetSlot> asked, long deadlineMs) {
+      this.unanswered = new ArrayList<>(asked);
+      this.deadlineMs = deadlineMs;
+    }
+
+    void hold(ByteBuffer datagram, int limit) {
+      if (held.size() < limit) {
+        byte[] copy = new byte[datagram.remaining()];
+        datagram.get(datagram.position(), copy);
+        held.add(copy);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/moorstage/core/transparent/FleetState.java
@@ -0,0 +1,133 @@
+package io.moorstage.core.transparent;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import javax.annotation.Nullable;
+
+/**
+ * What the configuration source holds, complete as of a revision. Immutable.
+ *
+ * <p>States only go forward: {@link #merge} takes from another state what is newer, record by
+ * record, so it does not matter whether the other one came from the source or from a peer, or how
+ * old it is.
+ */
+public final class FleetState {
+  /** Nothing is known. */
+  public static final FleetState EMPTY =
+      new FleetState(0, ForwardingConfiguration.NONE, new HashMap<>());
+
+  private final long revision;
+  private final ForwardingConfiguration configuration;
+  private final Map<String, TargetRecord> targets;
+
+  private FleetState(
+      long revision, ForwardingConfiguration configuration, Map<String, TargetRecord> targets) {
+    this.revision = revision;
+    this.configuration = configuration;
+    this.targets = targets;
+  }
+
+  /**
+   * Creates a state.
+   *
+   * @param revision the source's revision up to which nothing is missing
+   * @param configuration the newest configuration
+   * @param targets the targets, those that are gone included for as long as they may serve
+   */
+  public static FleetState of(
+      long revision, ForwardingConfiguration configuration, Collection<TargetRecord> targets) {
+    Map<String, TargetRecord> byId = new HashMap<>();
+    for (TargetRecord target : targets) {
+      byId.put(target.id(), target);
+    }
+    return new FleetState(revision, configuration, byId);
+  }
+
+  /** Returns the source's revision up to which nothing is missing. */
+  public long revision() {
+    return revision;
+  }
+
+  /** Returns the newest configuration. */
+  public ForwardingConfiguration configuration() {
+    return configuration;
+  }
+
+  /** Returns all targets, those that are gone included. */
+  public Collection<TargetRecord> targets() {
+    return targets.values();
+  }
+
+  /** Returns a target, or null if it was never listed or is forgotten. */
+  @Nullable
+  public TargetRecord target(String id) {
+    return targets.get(id);
+  }
+
+  /** Returns this state with all that is newer in another one. */
+  public FleetState merge(FleetState other) {
+    Map<String, TargetRecord> merged = new HashMap<>(targets);
+    for (TargetRecord record : other.targets.values()) {
+      TargetRecord known = targets.get(record.id());
+      // A record that we no longer hold was forgotten after it had gone: an old copy is no news.
+      long knownRevision = known == null ? revision : known.revision();
+      if (record.revision() > knownRevision || known == null && revision == 0) {
+        merged.put(record.id(), record);
+      }
+    }
+    boolean newer = other.configuration.version() > configuration.version();
+    return new FleetState(
+        Math.max(revision, other.revision),
+        newer ? other.configuration : configuration,
+        merged);
+  }
+
+  /**
+   * Returns this state after a complete reading of the source: what is newer is taken over, and
+   * targets that the reading does not list are gone.
+   */
+  public FleetState replaceBy(FleetState reading) {
+    if (reading.revision < revision) {
+      // The reading is older than what we hold already; it must not take anything back.
+      return merge(reading);
+    }
+    FleetState merged = merge(reading);
+    for (TargetRecord known : targets.values()) {
+      boolean listed = reading.targets.containsKey(known.id());
+      if (!listed && known.phase() != TargetPhase.GONE && known.revision() <= reading.revision) {
+        merged.targets.put(known.id(), known.gone(reading.revision));
+      }
+    }
+    return merged;
+  }
+
+  /** Returns this state after changes that the source has told. */
+  public FleetState apply(StateChanges changes) {
+    Map<String, TargetRecord> changed = new HashMap<>(targets);
+    for (TargetRecord written : changes.written()) {
+      TargetRecord known = targets.get(written.id());
+      if (known == null || written.revision() > known.revision()) {
+        changed.put(written.id(), written);
+      }
+    }
+    for (Map.Entry<String, Long> gone : changes.goneIds().entrySet()) {
+      // The record may be one of those that were written a moment earlier.
+      TargetRecord known = changed.get(gone.getKey());
+      if (known != null && gone.getValue() > known.revision()) {
+        changed.put(known.id(), known.gone(gone.getValue()));
+      }
+    }
+    ForwardingConfiguration next = changes.configuration();
+    boolean newer = next != null && next.version() > configuration.version();
+    return new FleetState(
+        Math.max(revision, changes.revision()), newer ? next : configuration, changed);
+  }
+
+  /** Returns this state without some targets, which have been gone for long enough. */
+  public FleetState without(Collection<String> forgottenIds) {
+    Map<String, TargetRecord> kept = new HashMap<>(targets);
+    kept.keySet().removeAll(forgottenIds);
+    return new FleetState(revision, configuration, kept);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/moorstage/core/transparent/FlowBalancer.java
@@ -0,0 +1,552 @@
+package io.moorstage.core.transparent;
+
+import io.moorstage.core.transparent.BalancerFlow.Location;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import javax.annotation.Nullable;
+
+/**
+ * The balancer's decisions: which target gets a new flow, and where the segments of an open flow
+ * go. Thread-safe: each call holds the lock of this shard of flows.
+ */
+public final class FlowBalancer {
+  private static final int MAX_ASKED_AGENTS = 24;
+  private static final int MAX_WAITING_OPENS = 512;
+  private static final int CONFIGURATION_WAIT_MS = 180;
+
+  private final ForwardingPolicy policy;
+  private final BalancerActions actions;
+  private final DecisionLog log;
+  private final Map<FlowId, BalancerFlow> flows = new HashMap<>();
+  private final List<BalancerFlow> locating = new ArrayList<>();
+  private final List<WaitingOpen> waitingOpens = new ArrayList<>();
+  private TargetPools pools = TargetPools.EMPTY;
+  private FleetState state = FleetState.EMPTY;
+  private long confirmedUntilMs = Long.MIN_VALUE;
+  private long stateAtMs;
+
+  /** An opening segment that waits for a newer configuration. */
+  private record WaitingOpen(Segment segment, byte[] datagram, long version, long deadlineMs) {}
+
+  /**
+   * Creates a balancer without state.
+   *
+   * @param policy times and bounds
+   * @param actions takes what is decided
+   * @param log takes each decision
+   */
+  public FlowBalancer(ForwardingPolicy policy, BalancerActions actions, DecisionLog log) {
+    this.policy = policy;
+    this.actions = actions;
+    this.log = log;
+  }
+
+  /** Takes a newer state. */
+  public synchronized void onState(FleetState newer, long nowMs) {
+    state = newer;
+    stateAtMs = nowMs;
+    pools = pools.update(newer, nowMs);
+    List<WaitingOpen> waiting = new ArrayList<>(waitingOpens);
+    waitingOpens.clear();
+    for (WaitingOpen open : waiting) {
+      if (open.version() <= newer.configuration().version()) {
+        open(open.segment(), ByteBuffer.wrap(open.datagram()), nowMs);
+      } else {
+        waitingOpens.add(open);
+      }
+    }
+  }
+
+  /** The configuration source has confirmed that the state is current until some time. */
+  public synchronized void onConfirmed(long untilMs) {
+    confirmedUntilMs = untilMs;
+  }
+
+  /**
+   * Takes what an agent tells of its target.
+   *
+   * @param busyFlows flows with a request in progress
+   * @param stopping whether the agent is about to end
+   */
+  public synchronized void onLoad(
+      int agentAddress, int busyFlows, boolean stopping, long nowMs) {
+    for (TargetSlot slot : pools.slots()) {
+      if (slot.address() == agentAddress && slot.record().phase() != TargetPhase.GONE) {
+        slot.reportBusy(busyFlows, nowMs);
+        slot.hear(nowMs);
+        if (stopping) {
+          slot.leave(policy.suspicionMs(), nowMs);
+        }
+      }
+    }
+  }
+
+  /** Takes a segment from a client. */
+  public synchronized void onClientSegment(Segment segment, ByteBuffer datagram, long nowMs) {
+    if (segment.kind() == Segment.Kind.OPEN) {
+      open(segment, datagram, nowMs);
+      return;
+    }
+    BalancerFlow flow = flows.get(segment.flow());
+    if (flow == null) {
+      locate(segment, datagram, nowMs);
+      return;
+    }
+    flow.lastUsedMs = nowMs;
+    if (flow.location != null) {
+      flow.location.hold(datagram, policy.maxHeldSegments());
+      return;
+    }
+    if (flow.target == null) {
+      startLocation(flow, segment, datagram, nowMs);
+      return;
+    }
+    if (!flow.answered) {
+      flow.answered = true;
+      flow.target.trust();
+    }
+    send(flow, flow.target, datagram);
+    if (segment.kind() == Segment.Kind.CLOSE || segment.kind() == Segment.Kind.RESET) {
+      flow.close();
+    }
+  }
+
+  private void send(BalancerFlow flow, TargetSlot target, ByteBuffer datagram) {
+    actions.forward(target.address(), flow.service, state.configuration().version(), datagram);
+  }
+
+  // ---- new flows ----
+
+  private void open(Segment segment, ByteBuffer datagram, long nowMs) {
+    ForwardingRoute route = state.configuration().routeOf(segment.flow());
+    if (route == null) {
+      openWithoutRoute(segment, nowMs);
+      return;
+    }
+    BalancerFlow flow = flows.get(segment.flow());
+    if (flow == null) {
+      String service = route.serviceOf(segment.flow());
+      if (service == null) {
+        resetOpening(segment, "no-weight", nowMs);
+        return;
+      }
+      flow = new BalancerFlow(segment.flow(), service, nowMs);
+      flows.put(segment.flow(), flow);
+      place(flow, segment, datagram, "new", nowMs);
+      return;
+    }
+    flow.lastUsedMs = nowMs;
+    if (flow.target == null || flow.location != null) {
+      place(flow, segment, datagram, "copy", nowMs);
+    } else if (flow.answered || mayRepeat(flow, nowMs)) {
+      log.decided(Decision.REPEATED, flow.id, flow.target.address(), "copy", ageOfState(nowMs));
+      flow.unreturnedOpens++;
+      send(flow, flow.target, datagram);
+    } else {
+      // Neither an answer nor a refusal came: the agent or its machine does not answer.
+      flow.target.suspect(policy.suspicionMs(), nowMs);
+      flow.tried.add(flow.target);
+      place(flow, segment, datagram, "unanswered", nowMs);
+    }
+  }
+
+  private static boolean mayRepeat(BalancerFlow flow, long nowMs) {
+    TargetSlot target = flow.target;
+    boolean ready = target.record().phase() == TargetPhase.READY;
+    return ready && target.heardSince(flow.openedAtMs) && !target.isSuspect(nowMs);
+  }
+
+  private void openWithoutRoute(Segment segment, long nowMs) {
+    // Only a configuration that is known to be current may say that there is no route.
+    if (nowMs <= confirmedUntilMs) {
+      log.decided(Decision.RESET_NO_ROUTE, segment.flow(), 0, "confirmed", ageOfState(nowMs));
+      actions.reset(segment.flow(), segment.acknowledged());
+    } else {
+      log.decided(Decision.DROPPED_NO_ROUTE, segment.flow(), 0, "unconfirmed", ageOfState(nowMs));
+    }
+  }
+
+  private void place(
+      BalancerFlow flow, Segment segment, ByteBuffer datagram, String reason, long nowMs) {
+    TargetPool pool = pools.ofService(flow.service);
+    TargetSlot chosen = pool == null ? null : pool.choose(flow.id, flow.tried, nowMs);
+    if (chosen == null) {
+      refuse(flow, segment, nowMs);
+      return;
+    }
+    Decision decision = flow.tried.isEmpty() ? Decision.PLACED : Decision.PLACED_AGAIN;
+    log.decided(decision, flow.id, chosen.address(), reason, ageOfState(nowMs));
+    flow.moveTo(chosen);
+    flow.openedAtMs = nowMs;
+    flow.unreturnedOpens++;
+    send(flow, chosen, datagram);
+  }
+
+  private void refuse(BalancerFlow flow, Segment segment, long nowMs) {
+    if (state.revision() == 0) {
+      log.decided(Decision.DROPPED_NO_STATE, flow.id, 0, "no-state", -1);
+      forget(flow);
+      return;
+    }
+    if (flow.unreturnedOpens > 0) {
+      // A target may still accept: a reset could hit an open flow.
+      flow.tried.clear();
+      return;
+    }
+    forget(flow);
+    resetOpening(segment, "no-target", nowMs);
+  }
+
+  private void resetOpening(Segment segment, String reason, long nowMs) {
+    log.decided(Decision.RESET_NO_TARGET, segment.flow(), 0, reason, ageOfState(nowMs));
+    actions.reset(segment.flow(), segment.acknowledged());
+  }
+
+  private void forget(BalancerFlow flow) {
+    flow.moveTo(null);
+    flows.remove(flow.id);
+  }
+
+  // ---- segments that an agent gives back ----
+
+  /**
+   * Takes a segment that an agent gives back.
+   *
+   * @param agentAddress the agent's machine
+   * @param reason why it gives the segment back
+   * @param agentVersion the newest configuration that the agent has seen in effect
+   */
+  public synchronized void onGivenBack(
+      int agentAddress,
+      ReturnReason reason,
+      long agentVersion,
+      Segment segment,
+      ByteBuffer datagram,
+      long nowMs) {
+    if (segment.kind() == Segment.Kind.OPEN) {
+      openGivenBack(agentAddress, reason, agentVersion, segment, datagram, nowMs);
+    } else {
+      notHeld(agentAddress, segment, datagram, nowMs);
+    }
+  }
+
+  private void openGivenBack(
+      int agentAddress,
+      ReturnReason reason,
+      long agentVersion,
+      Segment segment,
+      ByteBuffer datagram,
+      long nowMs) {
+    if (reason == ReturnReason.OLD_CONFIGURATION) {
+      waitForConfiguration(agentAddress, agentVersion, segment, datagram, nowMs);
+      return;
+    }
+    BalancerFlow flow = flows.get(segment.flow());
+    if (flow == null) {
+      return;
+    }
+    flow.unreturnedOpens--;
+    TargetPool pool = pools.ofService(flow.service);
+    TargetSlot refusing = pool == null ? null : pool.at(agentAddress);
+    if (refusing != null) {
+      if (!flow.tried.contains(refusing)) {
+        flow.tried.add(refusing);
+      }
+      if (reason == ReturnReason.SILENT) {
+        refusing.suspect(policy.suspicionMs(), nowMs);
+      } else if (reason != ReturnReason.FULL) {
+        refusing.leave(policy.suspicionMs(), nowMs);
+      }
+    }
+    // Another copy may have been placed elsewhere meanwhile.
+    if (flow.target == null || flow.target == refusing) {
+      place(flow, segment, datagram, reason.name(), nowMs);
+    }
+  }
+
+  private void waitForConfiguration(
+      int agentAddress, long version, Segment segment, ByteBuffer datagram, long nowMs) {
+    BalancerFlow flow = flows.get(segment.flow());
+    if (flow != null) {
+      flow.unreturnedOpens--;
+      if (flow.unreturnedOpens <= 0 && !flow.answered) {
+        forget(flow);
+      }
+    }
+    if (version <= state.configuration().version()) {
+      open(segment, datagram, nowMs);
+      return;
+    }
+    log.decided(
+        Decision.HELD_FOR_CONFIGURATION,
+        segment.flow(),
+        agentAddress,
+        "older-than-agent",
+        ageOfState(nowMs));
+    if (waitingOpens.size() < MAX_WAITING_OPENS) {
+      byte[] copy = new byte[datagram.remaining()];
+      datagram.get(datagram.position(), copy);
+      long deadlineMs = nowMs + CONFIGURATION_WAIT_MS;
+      waitingOpens.add(new WaitingOpen(segment, copy, version, deadlineMs));
+    }
+    actions.catchUp(agentAddress, version);
+  }
+
+  private void notHeld(int agentAddress, Segment segment, ByteBuffer datagram, long nowMs) {
+    BalancerFlow flow = flows.get(segment.flow());
+    if (flow == null) {
+      locate(segment, datagram, nowMs);
+      return;
+    }
+    Location location = flow.location;
+    if (location != null) {
+      if (location.offeredTo != null && location.offeredTo.address() == agentAddress) {
+        location.offeredTo = null;
+        offerNext(flow, nowMs);
+      }
+      return;
+    }
+    if (flow.target != null && flow.target.address() != agentAddress) {
+      // A late return; the flow has been found elsewhere meanwhile.
+      send(flow, flow.target, datagram);
+      return;
+    }
+    TargetSlot other = takeUntriedAnswer(flow);
+    if (other != null) {
+      flow.moveTo(other);
+      log.decided(Decision.LOCATED, flow.id, other.address(), "opened-at-other", nowMs - flow.openedAtMs);
+      send(flow, other, datagram);
+      return;
+    }
+    startLocation(flow, segment, datagram, nowMs);
+  }
+
+  /** Returns a target that got an earlier copy of the opening segment and may have accepted it. */
+  @Nullable
+  private static TargetSlot takeUntriedAnswer(BalancerFlow flow) {
+    if (flow.tried.isEmpty()) {
+      return null;
+    }
+    return flow.tried.remove(flow.tried.size() - 1);
+  }
+
+  // ---- flows of unknown place ----
+
+  private void locate(Segment segment, ByteBuffer datagram, long nowMs) {
+    ForwardingRoute route = state.configuration().routeOf(segment.flow());
+    String service = route == null ? null : route.serviceOf(segment.flow());
+    if (service == null) {
+      log.decided(Decision.DROPPED_NO_ROUTE, segment.flow(), 0, "not-opening", ageOfState(nowMs));
+      return;
+    }
+    BalancerFlow flow = new BalancerFlow(segment.flow(), service, nowMs);
+    flow.answered = true;
+    flows.put(flow.id, flow);
+    startLocation(flow, segment, datagram, nowMs);
+  }
+
+  private void startLocation(
+      BalancerFlow flow, Segment segment, ByteBuffer datagram, long nowMs) {
+    TargetSlot excluded = flow.target;
+    flow.moveTo(null);
+    List<TargetSlot> asked = new ArrayList<>();
+    for (TargetPool pool : poolsOf(flow)) {
+      for (TargetSlot slot : pool.byRank(flow.id)) {
+        if (slot != excluded && asked.size() < MAX_ASKED_AGENTS) {
+          asked.add(slot);
+        }
+      }
+    }
+    Location location = new Location(asked, nowMs + policy.locateTimeoutMs());
+    location.acknowledged = segment.acknowledged();
+    location.hold(datagram, policy.maxHeldSegments());
+    flow.location = location;
+    locating.add(flow);
+    String reason = excluded == null ? "unknown" : "not-held";
+    log.decided(
+        Decision.ASKED,
+        flow.id,
+        excluded == null ? 0 : excluded.address(),
+        reason,
+        ageOfState(nowMs));
+    for (TargetSlot slot : asked) {
+      actions.ask(slot.address(), flow.id);
+    }
+    actions.askBalancers(flow.id);
+  }
+
+  /** Returns the pools that may hold a flow: any service that its route shares flows among. */
+  private List<TargetPool> poolsOf(BalancerFlow flow) {
+    List<TargetPool> found = new ArrayList<>(1);
+    ForwardingRoute route = state.configuration().routeOf(flow.id);
+    if (route == null) {
+      TargetPool pool = pools.ofService(flow.service);
+      if (pool != null) {
+        found.add(pool);
+      }
+      return found;
+    }
+    for (WeightedService part : route.services()) {
+      TargetPool pool = pools.ofService(part.service());
+      if (pool != null) {
+        found.add(pool);
+      }
+    }
+    return found;
+  }
+
+  /** Takes an answer of an agent or another balancer about a flow. */
+  public synchronized void onKnowledge(
+      int peerAddress, FlowId id, FlowKnowledge knowledge, int targetAddress, long nowMs) {
+    BalancerFlow flow = flows.get(id);
+    if (flow == null || flow.location == null) {
+      return;
+    }
+    Location location = flow.location;
+    switch (knowledge) {
+      case HELD:
+      case KNOWN_ELSEWHERE:
+        TargetSlot holder = slotAt(flow, targetAddress);
+        if (holder != null) {
+          found(flow, holder, "told-by-peer", nowMs);
+        }
+        break;
+      case LOST:
+        actions.reset(id, location.acknowledged);
+        log.decided(Decision.RESET_LOST, id, peerAddress, "told-by-agent", -1);
+        endLocation(flow);
+        forget(flow);
+        break;
+      case UNKNOWN:
+        answered(flow, peerAddress, true, nowMs);
+        break;
+      case NOT_HELD:
+        answered(flow, peerAddress, false, nowMs);
+        break;
+    }
+  }
+
+  private void answered(BalancerFlow flow, int agentAddress, boolean mayHold, long nowMs) {
+    Location location = flow.location;
+    for (Iterator<TargetSlot> slots = location.unanswered.iterator(); slots.hasNext(); ) {
+      TargetSlot slot = slots.next();
+      if (slot.address() == agentAddress) {
+        slots.remove();
+        if (mayHold) {
+          location.candidates.add(slot);
+        }
+        break;
+      }
+    }
+    if (location.unanswered.isEmpty() && location.offeredTo == null) {
+      offerNext(flow, nowMs);
+    }
+  }
+
+  @Nullable
+  private TargetSlot slotAt(BalancerFlow flow, int address) {
+    for (TargetPool pool : poolsOf(flow)) {
+      TargetSlot slot = pool.at(address);
+      if (slot != null) {
+        return slot;
+      }
+    }
+    return null;
+  }
+
+  private void found(BalancerFlow flow, TargetSlot holder, String reason, long nowMs) {
+    Location location = flow.location;
+    endLocation(flow);
+    flow.moveTo(holder);
+    log.decided(Decision.LOCATED, flow.id, holder.address(), reason, nowMs - flow.lastUsedMs);
+    for (byte[] datagram : location.held) {
+      send(flow, holder, ByteBuffer.wrap(datagram));
+    }
+  }
+
+  private void offerNext(BalancerFlow flow, long nowMs) {
+    Location location = flow.location;
+    if (location.candidates.isEmpty()) {
+      log.decided(Decision.NOT_FOUND, flow.id, 0, "nobody-knows", ageOfState(nowMs));
+      endLocation(flow);
+      forget(flow);
+      return;
+    }
+    TargetSlot candidate = highestRanked(flow, location.candidates);
+    location.candidates.remove(candidate);
+    location.offeredTo = candidate;
+    location.deadlineMs = nowMs + policy.offerTimeoutMs();
+    log.decided(Decision.OFFERED, flow.id, candidate.address(), "may-hold", ageOfState(nowMs));
+    send(flow, candidate, ByteBuffer.wrap(location.held.get(0)));
+  }
+
+  private static TargetSlot highestRanked(BalancerFlow flow, List<TargetSlot> candidates) {
+    long flowHash = flow.id.hash();
+    TargetSlot highest = candidates.get(0);
+    for (TargetSlot slot : candidates) {
+      if (Long.compareUnsigned(slot.rank(flowHash), highest.rank(flowHash)) > 0) {
+        highest = slot;
+      }
+    }
+    return highest;
+  }
+
+  private void endLocation(BalancerFlow flow) {
+    flow.location = null;
+    locating.remove(flow);
+  }
+
+  /** Answers another balancer: the address of the target that holds a flow, 0 if unknown. */
+  public synchronized int knownTarget(FlowId id) {
+    BalancerFlow flow = flows.get(id);
+    boolean known = flow != null && flow.target != null && flow.answered && flow.location == null;
+    return known ? flow.target.address() : 0;
+  }
+
+  // ---- time ----
+
+  /** Handles what is due; called every few tens of milliseconds. */
+  public synchronized void onTick(long nowMs) {
+    for (BalancerFlow flow : new ArrayList<>(locating)) {
+      Location location = flow.location;
+      if (location == null || location.deadlineMs > nowMs) {
+        continue;
+      }
+      if (location.offeredTo == null) {
+        location.unanswered.clear();
+        offerNext(flow, nowMs);
+      } else {
+        // A target returns at once what it does not hold.
+        TargetSlot holder = location.offeredTo;
+        location.held.remove(0);
+        found(flow, holder, "kept-offer", nowMs);
+      }
+    }
+    waitingOpens.removeIf(open -> open.deadlineMs() <= nowMs);
+  }
+
+  /** Forgets flows that have ended or rested for long; called about once a second. */
+  public synchronized void onSweep(long nowMs) {
+    for (Iterator<BalancerFlow> all = flows.values().iterator(); all.hasNext(); ) {
+      BalancerFlow flow = all.next();
+      int memoryMs = flow.closed ? policy.closedLingerMs() : policy.flowMemoryMs();
+      if (flow.location == null && nowMs - flow.lastUsedMs > memoryMs) {
+        flow.moveTo(null);
+        all.remove();
+      }
+    }
+  }
+
+  /** Returns the number of flows that this balancer remembers. */
+  public synchronized int flowCount() {
+    return flows.size();
+  }
+
+  private long ageOfState(long nowMs) {
+    return nowMs - stateAtMs;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/moorstage/core/transparent/ForwardingPolicy.java
@@ -0,0 +1,29 @@
+package io.moorstage.core.transparent;
+
+/**
+ * The times and bounds that forwarding decides by.
+ *
+ * @param locateTimeoutMs how long a balancer waits for answers about an unknown flow
+ * @param offerTimeoutMs how long a balancer waits for a target to return a segment offered to it
+ * @param maxHeldSegments segments of one unknown flow that are held while it is located
+ * @param silenceMs after how long without an answer to an opening segment a target counts as silent
+ * @param suspicionMs for how long a silent target gets no new flow
+ * @param closedLingerMs how long a closed flow is remembered
+ * @param flowMemoryMs how long an unused flow is remembered; also how long an agent must have run
+ *     before it knows all flows of its target
+ * @param goneMemoryMs how long a target is remembered after the source has ceased to list it
+ */
+public record ForwardingPolicy(
+    int locateTimeoutMs,
+    int offerTimeoutMs,
+    int maxHeldSegments,
+    int silenceMs,
+    int suspicionMs,
+    int closedLingerMs,
+    int flowMemoryMs,
+    int goneMemoryMs) {
+
+  /** Values for a deployment whose flows live up to a minute. */
+  public static final ForwardingPolicy STANDARD =
+      new ForwardingPolicy(40, 20, 4, 80, 1_000, 5_000, 65_000, 70_000);
+}
--- /dev/null
+++ b/core/src/main/java/io/moorstage/core/transparent/ForwardingRoute.java
@@ -0,0 +1,47 @@
+package io.moorstage.core.transparent;
+
+import java.util.List;
+import javax.annotation.Nullable;
+
+/**
+ * Where new flows to one service address go.
+ *
+ * @param address IPv4 address that clients send to
+ * @param port port that clients send to
+ * @param services the services that share the route's new flows, at least one
+ */
+public record ForwardingRoute(int address, int port, List<WeightedService> services) {
+
+  /** Returns the key under which a flow finds its route. */
+  public long key() {
+    return FlowId.pack(address, port);
+  }
+
+  /**
+   * Returns the service of a new flow; equal on all nodes, in proportion to the weights.
+   *
+   * @return the service's name, or null if all weights are 0
+   */
+  @Nullable
+  public String serviceOf(FlowId flow) {
+    if (services.size() == 1) {
+      return services.get(0).service();
+    }
+    int total = 0;
+    for (WeightedService part : services) {
+      total += part.weight();
+    }
+    if (total == 0) {
+      return null;
+    }
+    // A remainder of the mixed hash; its bias is below 2^-32 for any weight that fits an int.
+    long point = Long.remainderUnsigned(flow.hash(), total);
+    for (WeightedService part : services) {
+      point -= part.weight();
+      if (point < 0) {
+        return part.service();
+      }
+    }
+    return null;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/moorstage/core/transparent/ReturnReason.java
@@ -0,0 +1,24 @@
+package io.moorstage.core.transparent;
+
+/** Why an agent gives a segment back to the balancer that sent it. */
+public enum ReturnReason {
+  /** The target does not hold the segment's flow. */
+  NOT_HELD,
+  /** The target cannot take another flow now. */
+  FULL,
+  /** The target is leaving and takes no new flow. */
+  LEAVING,
+  /** The agent's target belongs to another service. */
+  OTHER_SERVICE,
+  /** The balancer acts on an older configuration than one that was already in effect here. */
+  OLD_CONFIGURATION,
+  /** The target has not answered an opening segment in time. */
+  SILENT;
+
+  private static final ReturnReason[] VALUES = values();
+
+  /** Returns the reason with a number, or null if there is none. */
+  public static ReturnReason ofNumber(int number) {
+    return number >= 0 && number < VALUES.length ? VALUES[number] : null;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/moorstage/core/transparent/StateChanges.java
@@ -0,0 +1,19 @@
+package io.moorstage.core.transparent;
+
+import java.util.List;
+import java.util.Map;
+import javax.annotation.Nullable;
+
+/**
+ * What has changed at the configuration source since an earlier revision.
+ *
+ * @param revision the revision up to which these changes lead
+ * @param written targets that are new or have changed
+ * @param goneIds targets that are no longer listed, with the revision at which they went
+ * @param configuration a newer configuration, or null if it has not changed
+ */
+public record StateChanges(
+    long revision,
+    List<TargetRecord> written,
+    Map<String, Long> goneIds,
+    @Nullable ForwardingConfiguration configuration) {}
--- /dev/null
+++ b/core/src/main/java/io/moorstage/core/transparent/TargetPools.java
@@ -0,0 +1,51 @@
+package io.moorstage.core.transparent;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import javax.annotation.Nullable;
+
+/** All targets by service, as one state has them. Immutable but for the slots. */
+final class TargetPools {
+  static final TargetPools EMPTY = new TargetPools(new HashMap<>(), new HashMap<>());
+
+  private final Map<String, TargetSlot> slotsById;
+  private final Map<String, TargetPool> poolsByService;
+
+  private TargetPools(Map<String, TargetSlot> slotsById, Map<String, TargetPool> poolsByService) {
+    this.slotsById = slotsById;
+    this.poolsByService = poolsByService;
+  }
+
+  /** Returns the pools of a newer state; targets that stay keep their slots. */
+  TargetPools update(FleetState state, long nowMs) {
+    Map<String, TargetSlot> slots = new HashMap<>();
+    Map<String, List<TargetSlot>> members = new HashMap<>();
+    for (TargetRecord record : state.targets()) {
+      TargetSlot slot = slotsById.get(record.id());
+      if (slot == null) {
+        slot = new TargetSlot(record, nowMs);
+      } else {
+        slot.update(record);
+      }
+      slots.put(record.id(), slot);
+      members.computeIfAbsent(record.service(), service -> new ArrayList<>()).add(slot);
+    }
+    Map<String, TargetPool> pools = new HashMap<>();
+    for (Map.Entry<String, List<TargetSlot>> entry : members.entrySet()) {
+      pools.put(entry.getKey(), new TargetPool(entry.getKey(), entry.getValue()));
+    }
+    return new TargetPools(slots, pools);
+  }
+
+  @Nullable
+  TargetPool ofService(String service) {
+    return poolsByService.get(service);
+  }
+
+  /** Returns the slots of all targets. */
+  Iterable<TargetSlot> slots() {
+    return slotsById.values();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/moorstage/core/transparent/TargetSlot.java
@@ -0,0 +1,116 @@
+package io.moorstage.core.transparent;
+
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * What a balancer knows of one target: its record and its own experience with it. The record is
+ * replaced when the source tells a newer one; the experience stays.
+ */
+public final class TargetSlot {
+  private static final long NEVER = Long.MIN_VALUE / 2;
+  private static final int MAX_SUSPICION_DOUBLINGS = 3;
+
+  private volatile TargetRecord record;
+  private final long hash;
+  private final AtomicInteger activeFlows = new AtomicInteger();
+  private volatile long suspectUntilMs = NEVER;
+  private volatile int silences;
+  private volatile long coldUntilMs;
+  private volatile int reportedBusy;
+  private volatile long reportedAtMs = NEVER;
+  private volatile long heardAtMs = NEVER;
+
+  TargetSlot(TargetRecord record, long nowMs) {
+    this.record = record;
+    this.hash = FlowId.mix(hashOf(record.id()));
+    this.coldUntilMs = nowMs + record.slowStartMs();
+  }
+
+  private static long hashOf(String id) {
+    long hash = 1;
+    for (int i = 0; i < id.length(); i++) {
+      hash = hash * 31 + id.charAt(i);
+    }
+    return hash;
+  }
+
+  /** Returns the newest record. */
+  public TargetRecord record() {
+    return record;
+  }
+
+  void update(TargetRecord newer) {
+    record = newer;
+  }
+
+  /** Returns the address of the machine that the target and its agent run on. */
+  public int address() {
+    return record.address();
+  }
+
+  /** Returns how many flows this balancer has opened there and not seen closed. */
+  public int activeFlows() {
+    return activeFlows.get();
+  }
+
+  void addFlow() {
+    activeFlows.incrementAndGet();
+  }
+
+  void removeFlow() {
+    activeFlows.decrementAndGet();
+  }
+
+  void hear(long nowMs) {
+    heardAtMs = nowMs;
+  }
+
+  /** Returns whether the agent has been heard from after some time. */
+  boolean heardSince(long sinceMs) {
+    return heardAtMs > sinceMs;
+  }
+
+  void reportBusy(int busyFlows, long nowMs) {
+    reportedBusy = busyFlows;
+    reportedAtMs = nowMs;
+  }
+
+  /** Returns the rank of this target for a flow; the highest one comes first. */
+  long rank(long flowHash) {
+    return FlowId.mix(flowHash ^ hash);
+  }
+
+  boolean isSuspect(long nowMs) {
+    return nowMs < suspectUntilMs;
+  }
+
+  boolean isSlow(long nowMs) {
+    return nowMs < coldUntilMs;
+  }
+
+  void suspect(int suspicionMs, long nowMs) {
+    int doublings = Math.min(silences, MAX_SUSPICION_DOUBLINGS);
+    silences++;
+    suspectUntilMs = nowMs + ((long) suspicionMs << doublings);
+  }
+
+  void leave(int suspicionMs, long nowMs) {
+    suspectUntilMs = Math.max(suspectUntilMs, nowMs + suspicionMs);
+  }
+
+  void trust() {
+    if (silences > 0) {
+      silences = 0;
+      suspectUntilMs = NEVER;
+    }
+  }
+
+  /**
+   * Returns the requests in progress at the target, as far as known: those that its agent reported,
+   * or this balancer's own flows if the report is old.
+   */
+  double load(int reportValidMs, long nowMs) {
+    int busy = nowMs - reportedAtMs <= reportValidMs ? reportedBusy : activeFlows.get();
+    return (busy + 1.0) / record.capacity();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/moorstage/core/transparent/WeightedService.java
@@ -0,0 +1,9 @@
+package io.moorstage.core.transparent;
+
+/**
+ * A service that takes a share of a route's new flows.
+ *
+ * @param service name of the service
+ * @param weight its share relative to the route's other services, 0 or more
+ */
+public record WeightedService(String service, int weight) {}
--- /dev/null
+++ b/forwarding/src/main/java/io/moorstage/forwarding/AgentDaemon.java
@@ -0,0 +1,238 @@
+package io.moorstage.forwarding;
+
+import io.moorstage.core.model.Endpoint;
+import io.moorstage.core.transparent.AgentActions;
+import io.moorstage.core.transparent.FlowAgent;
+import io.moorstage.core.transparent.FlowId;
+import io.moorstage.core.transparent.FlowKnowledge;
+import io.moorstage.core.transparent.ForwardingPolicy;
+import io.moorstage.core.transparent.ReturnReason;
+import io.moorstage.core.transparent.Segment;
+import io.moorstage.core.transparent.SegmentCodec;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.Locale;
+
+/** Runs beside a target: hands it the segments of its flows and sends its answers to clients. */
+public final class AgentDaemon implements ForwardingDaemon {
+  private static final int TICK_MS = 20;
+  private static final int BEACON_MS = 500;
+  private static final int SWEEP_MS = 1_000;
+  private static final int COPY_INTERVAL_MS = 1_000;
+  private static final int OTHER_ZONE_AFTER_MS = 3_000;
+  private static final byte[] EMPTY_BODY = {};
+  private static final int REVISION_OFFSET = 1;
+
+  private final ForwardingSettings settings;
+  private final SegmentCodec segments;
+  private final EventLog log;
+  private final FlowAgent agent;
+  private final PeerDirectory balancers;
+  private final AddressCache peers;
+  private final AddressCache clients;
+  private final InetSocketAddress target;
+  private final PeerStateFetcher fetcher;
+  private final ByteBuffer out = ByteBuffer.allocateDirect(PeerMessageCodec.MAX_BYTES);
+  private final ByteBuffer beaconOut = ByteBuffer.allocateDirect(PeerMessageCodec.MAX_BYTES);
+  private UdpPort peerPort;
+  private UdpPort targetPort;
+  private volatile boolean stopping;
+  private volatile byte[] stateCopy;
+  private volatile long copyRevision;
+  private volatile long copiedAtMs;
+  private volatile long staleSinceMs;
+
+  /** Creates a daemon; nothing is bound before {@link #start()}. */
+  public AgentDaemon(ForwardingSettings settings, SegmentCodec segments, EventLog log) {
+    this.settings = settings;
+    this.segments = segments;
+    this.log = log;
+    long nowMs = MonotonicClock.nowMs();
+    this.agent =
+        new FlowAgent(ForwardingPolicy.STANDARD, settings.service(), new Actions(), log, nowMs);
+    this.balancers = new PeerDirectory(settings.address());
+    this.peers = new AddressCache(settings.peerPort());
+    this.clients = new AddressCache(settings.clientEndpoint().port());
+    this.target = UdpPort.socketAddress(settings.target().ipv4(), settings.target().port());
+    PeerStateClient client = new PeerStateClient(settings.statePort());
+    this.fetcher = new PeerStateFetcher(client, this::onPeerState, log);
+  }
+
+  @Override
+  public void start() throws IOException {
+    targetPort = UdpPort.bind(settings.egress());
+    peerPort = UdpPort.bind(Endpoint.of(settings.address(), settings.peerPort()));
+    targetPort.start("target-segments", this::onTargetDatagram, log);
+    peerPort.start("peer-messages", this::onPeerDatagram, log);
+    HttpEndpoint.start(settings.readiness(), "/", () -> stopping ? null : EMPTY_BODY);
+    reload(settings);
+    sendBeacons(MonotonicClock.nowMs());
+    fetcher.start();
+    Endpoint stateEndpoint = Endpoint.of(settings.address(), settings.statePort());
+    HttpEndpoint.start(stateEndpoint, PeerStateClient.PATH, () -> stateCopy);
+  }
+
+  @Override
+  public void reload(ForwardingSettings newer) {
+    long nowMs = MonotonicClock.nowMs();
+    for (Endpoint seed : newer.seeds()) {
+      balancers.told(seed.ipv4(), nowMs);
+    }
+  }
+
+  @Override
+  public void run() throws InterruptedException {
+    long nextBeaconMs = 0;
+    long nextSweepMs = 0;
+    while (!stopping) {
+      Thread.sleep(TICK_MS);
+      long nowMs = MonotonicClock.nowMs();
+      agent.onTick(nowMs);
+      if (nowMs >= nextBeaconMs) {
+        nextBeaconMs = nowMs + BEACON_MS;
+        sendBeacons(nowMs);
+      }
+      if (nowMs >= nextSweepMs) {
+        nextSweepMs = nowMs + SWEEP_MS;
+        agent.onSweep(nowMs);
+      }
+    }
+    log.event("stopped", "flows", agent.flowCount());
+  }
+
+  // The target is reached through this process alone, so it ends at once and is back the sooner.
+  @Override
+  public void stop() {
+    stopping = true;
+    sendBeacons(MonotonicClock.nowMs());
+    log.event("stopping", "flows", agent.flowCount());
+  }
+
+  private void onPeerState(int peerAddress, byte[] encoded) throws StateSourceException {
+    if (encoded.length < REVISION_OFFSET + Long.BYTES) {
+      throw new StateSourceException(StateSourceFailure.MALFORMED, "a peer's state is cut off");
+    }
+    long revision = ByteBuffer.wrap(encoded).getLong(REVISION_OFFSET);
+    if (revision > copyRevision) {
+      stateCopy = encoded;
+      copyRevision = revision;
+    }
+  }
+
+  private synchronized void sendBeacons(long nowMs) {
+    PeerMessage beacon =
+        new PeerMessage.AgentBeacon(
+            copyRevision, agent.busyFlows(), stopping, balancers.live(nowMs));
+    for (int balancer : balancers.known(nowMs)) {
+      beaconOut.clear();
+      PeerMessageCodec.encode(beacon, beaconOut);
+      peerPort.send(beaconOut.flip(), peers.get(balancer));
+    }
+  }
+
+  private void onTargetDatagram(int sourceAddress, ByteBuffer datagram) {
+    Segment segment = segments.decodeFromTarget(datagram);
+    if (segment == null) {
+      return;
+    }
+    if (segment.returned()) {
+      segments.clearReturned(datagram);
+    }
+    agent.onTargetSegment(segment, datagram, MonotonicClock.nowMs());
+  }
+
+  private void onPeerDatagram(int sourceAddress, ByteBuffer datagram) {
+    long nowMs = MonotonicClock.nowMs();
+    PeerMessage message = PeerMessageCodec.decode(datagram);
+    if (message instanceof PeerMessage.Forward forward) {
+      Segment segment = segments.decodeFromClient(forward.datagram());
+      if (segment != null) {
+        agent.onForwarded(
+            sourceAddress,
+            forward.service(),
+            forward.configurationVersion(),
+            segment,
+            forward.datagram(),
+            nowMs);
+      }
+    } else if (message instanceof PeerMessage.Ask ask) {
+      answer(sourceAddress, ask.flow(), nowMs);
+    } else if (message instanceof PeerMessage.BalancerBeacon beacon) {
+      onBalancerBeacon(sourceAddress, beacon, nowMs);
+    }
+  }
+
+  private void answer(int balancer, FlowId flow, long nowMs) {
+    FlowKnowledge knowledge = agent.onAsked(flow, nowMs);
+    ByteBuffer buffer = ByteBuffer.allocate(PeerMessageCodec.MAX_BYTES);
+    PeerMessageCodec.encode(
+        new PeerMessage.Answer(flow, knowledge, settings.address()), buffer);
+    peerPort.send(buffer.flip(), peers.get(balancer));
+  }
+
+  private void onBalancerBeacon(int balancer, PeerMessage.BalancerBeacon beacon, long nowMs) {
+    boolean appeared = balancers.heard(balancer, nowMs);
+    for (int address : beacon.balancers()) {
+      balancers.told(address, nowMs);
+    }
+    if (beacon.phase() != null && agent.onPhase(beacon.phase(), beacon.revision())) {
+      log.event(
+          "target-phase",
+          "phase",
+          beacon.phase().name().toLowerCase(Locale.ROOT),
+          "revision",
+          beacon.revision(),
+          "told-by",
+          Endpoint.of(balancer, 0).host());
+    }
+    if (appeared) {
+      log.event("balancer-heard", "peer", Endpoint.of(balancer, 0).host());
+      sendBeacons(nowMs);
+    }
+    copyIfNewer(balancer, beacon, nowMs);
+  }
+
+  // A copy of the state, for balancers that start while the source is away. Bytes between zones
+  // cost, so it comes from the same zone as long as there is a balancer.
+  private void copyIfNewer(int balancer, PeerMessage.BalancerBeacon beacon, long nowMs) {
+    if (beacon.revision() <= copyRevision) {
+      staleSinceMs = nowMs;
+      return;
+    }
+    boolean sameZone = beacon.zone().equals(settings.zone());
+    boolean waitedLong = nowMs - staleSinceMs > OTHER_ZONE_AFTER_MS;
+    if ((sameZone || waitedLong) && nowMs - copiedAtMs >= COPY_INTERVAL_MS) {
+      copiedAtMs = nowMs;
+      fetcher.fetch(balancer);
+    }
+  }
+
+  /** Carries out decisions; called under the agent's lock, which guards {@link #out} too. */
+  private final class Actions implements AgentActions {
+    @Override
+    public void deliver(ByteBuffer datagram) {
+      targetPort.send(datagram.duplicate(), target);
+    }
+
+    @Override
+    public void sendToClient(FlowId flow, ByteBuffer datagram) {
+      targetPort.send(datagram.duplicate(), clients.get(flow.clientAddress()));
+    }
+
+    @Override
+    public void giveBack(
+        int balancerAddress, ReturnReason reason, long version, ByteBuffer datagram) {
+      out.clear();
+      PeerMessageCodec.encode(new PeerMessage.GiveBack(reason, version, datagram), out);
+      peerPort.send(out.flip(), peers.get(balancerAddress));
+    }
+
+    @Override
+    public void reset(FlowId flow, int sequence) {
+      out.clear();
+      segments.encodeReset(flow, sequence, out);
+      targetPort.send(out, clients.get(flow.clientAddress()));
+    }
+  }
+}
--- /dev/null
+++ b/forwarding/src/main/java/io/moorstage/forwarding/BalancerDaemon.java
@@ -0,0 +1,377 @@
+package io.moorstage.forwarding;
+
+import io.moorstage.core.model.Endpoint;
+import io.moorstage.core.transparent.BalancerActions;
+import io.moorstage.core.transparent.Decision;
+import io.moorstage.core.transparent.FleetState;
+import io.moorstage.core.transparent.FlowBalancer;
+import io.moorstage.core.transparent.FlowId;
+import io.moorstage.core.transparent.FlowKnowledge;
+import io.moorstage.core.transparent.ForwardingPolicy;
+import io.moorstage.core.transparent.Segment;
+import io.moorstage.core.transparent.SegmentCodec;
+import io.moorstage.core.transparent.TargetPhase;
+import io.moorstage.core.transparent.TargetRecord;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+
+/** Takes clients' segments and forwards each to the agent beside the flow's target. */
+public final class BalancerDaemon implements ForwardingDaemon {
+  private static final int TICK_MS = 20;
+  private static final int BEACON_MS = 500;
+  private static final int SWEEP_MS = 1_000;
+  private static final int CATCH_UP_DELAY_MS = 150;
+  private static final int CONFIRMED_FOR_MS = 2_500;
+  private static final int STOP_MIN_MS = 1_300;
+  private static final int STOP_MAX_MS = 4_500;
+  private static final int STOP_QUIET_MS = 300;
+  private static final int MAX_ASKED_BALANCERS = 12;
+  private static final byte[] EMPTY_BODY = {};
+
+  private final ForwardingSettings settings;
+  private final SegmentCodec segments;
+  private final EventLog log;
+  private final FlowBalancer balancer;
+  private final StateKeeper keeper;
+  private final PeerDirectory balancers;
+  private final AddressCache peers;
+  private final AddressCache clients;
+  private final SourceFollower follower;
+  private final PeerStateFetcher fetcher;
+  private final ByteBuffer out = ByteBuffer.allocateDirect(PeerMessageCodec.MAX_BYTES);
+  private final ByteBuffer beaconOut = ByteBuffer.allocateDirect(PeerMessageCodec.MAX_BYTES);
+  private UdpPort clientPort;
+  private UdpPort peerPort;
+  private volatile boolean ready;
+  private volatile boolean stopping;
+  private volatile long stopAtMs;
+  private volatile long lastClientAtMs;
+  private volatile long behindSinceMs;
+  private volatile long behindRevision;
+  private volatile int aheadPeer;
+
+  /** Creates a daemon; nothing is bound before {@link #start()}. */
+  public BalancerDaemon(
+      ForwardingSettings settings, SegmentCodec segments, StateSource source, EventLog log) {
+    this.settings = settings;
+    this.segments = segments;
+    this.log = log;
+    this.balancer = new FlowBalancer(ForwardingPolicy.STANDARD, new Actions(), log);
+    this.keeper = new StateKeeper(ForwardingPolicy.STANDARD.goneMemoryMs(), this::onState);
+    this.balancers = new PeerDirectory(settings.address());
+    this.peers = new AddressCache(settings.peerPort());
+    this.clients = new AddressCache(settings.clientEndpoint().port());
+    this.follower = new SourceFollower(source, keeper, this::onConfirmed, log);
+    PeerStateClient client = new PeerStateClient(settings.statePort());
+    this.fetcher = new PeerStateFetcher(client, this::onPeerState, log);
+  }
+
+  @Override
+  public void start() throws IOException {
+    peerPort = UdpPort.bind(Endpoint.of(settings.address(), settings.peerPort()));
+    clientPort = UdpPort.bind(settings.clientEndpoint());
+    clientPort.start("client-segments", this::onClientDatagram, log);
+    peerPort.start("peer-messages", this::onPeerDatagram, log);
+    follower.start();
+    HttpEndpoint.start(settings.readiness(), "/", () -> ready ? EMPTY_BODY : null);
+    reload(settings);
+    sendBeacons(MonotonicClock.nowMs());
+    fetcher.start();
+    Endpoint stateEndpoint = Endpoint.of(settings.address(), settings.statePort());
+    HttpEndpoint.start(stateEndpoint, PeerStateClient.PATH, keeper::encoded);
+  }
+
+  @Override
+  public void reload(ForwardingSettings newer) {
+    long nowMs = MonotonicClock.nowMs();
+    for (Endpoint seed : newer.seeds()) {
+      balancers.told(seed.ipv4(), nowMs);
+    }
+  }
+
+  @Override
+  public void run() throws InterruptedException {
+    long nextBeaconMs = 0;
+    long nextSweepMs = 0;
+    while (!hasStopped(MonotonicClock.nowMs())) {
+      Thread.sleep(TICK_MS);
+      long nowMs = MonotonicClock.nowMs();
+      balancer.onTick(nowMs);
+      if (nowMs >= nextBeaconMs) {
+        nextBeaconMs = nowMs + BEACON_MS;
+        sendBeacons(nowMs);
+      }
+      if (nowMs >= nextSweepMs) {
+        nextSweepMs = nowMs + SWEEP_MS;
+        balancer.onSweep(nowMs);
+      }
+      catchUpIfBehind(nowMs);
+    }
+    log.event("stopped", "flows", balancer.flowCount());
+  }
+
+  // A stopping balancer forwards until the network sends its segments elsewhere.
+  private boolean hasStopped(long nowMs) {
+    if (!stopping) {
+      return false;
+    }
+    long stoppingForMs = nowMs - stopAtMs;
+    boolean quiet = nowMs - lastClientAtMs > STOP_QUIET_MS;
+    return stoppingForMs > STOP_MAX_MS || quiet && stoppingForMs > STOP_MIN_MS;
+  }
+
+  @Override
+  public void stop() {
+    if (!stopping) {
+      stopAtMs = MonotonicClock.nowMs();
+      stopping = true;
+      ready = false;
+      log.event("stopping", "flows", balancer.flowCount());
+    }
+  }
+
+  // ---- state ----
+
+  private void onState(FleetState before, FleetState after, long nowMs) {
+    if (after.revision() == before.revision()) {
+      return;
+    }
+    balancer.onState(after, nowMs);
+    if (after.configuration().version() != before.configuration().version()) {
+      log.event(
+          "configuration-taken",
+          "version",
+          after.configuration().version(),
+          "routes",
+          after.configuration().routes().size(),
+          "revision",
+          after.revision());
+    }
+    boolean targetsChanged = logTargets(before, after);
+    if (!ready && !stopping && after.configuration().version() > 0) {
+      ready = true;
+      log.event("ready", "revision", after.revision());
+    }
+    if (targetsChanged && peerPort != null) {
+      sendBeacons(nowMs);
+    }
+  }
+
+  private boolean logTargets(FleetState before, FleetState after) {
+    boolean changed = false;
+    for (TargetRecord target : after.targets()) {
+      TargetRecord known = before.target(target.id());
+      if (known == null || known.phase() != target.phase()) {
+        changed = true;
+        log.event(
+            "target-" + target.phase().name().toLowerCase(Locale.ROOT),
+            "target",
+            target.id(),
+            "service",
+            target.service(),
+            "at",
+            Endpoint.of(target.address(), 0).host(),
+            "revision",
+            target.revision());
+      }
+    }
+    return changed;
+  }
+
+  private void onConfirmed(long nowMs) {
+    balancer.onConfirmed(nowMs + CONFIRMED_FOR_MS);
+  }
+
+  private void onPeerState(int peerAddress, byte[] encoded) throws StateSourceException {
+    FleetState peerState = FleetStateCodec.decode(encoded);
+    long ownRevision = keeper.state().revision();
+    if (peerState.revision() > ownRevision) {
+      log.event(
+          "state-from-peer",
+          "peer",
+          Endpoint.of(peerAddress, 0).host(),
+          "revision",
+          peerState.revision(),
+          "before",
+          ownRevision);
+      keeper.merge(peerState, MonotonicClock.nowMs());
+    }
+  }
+
+  private void noteRevision(int peerAddress, long revision, long nowMs) {
+    long own = keeper.state().revision();
+    if (revision <= own) {
+      return;
+    }
+    aheadPeer = peerAddress;
+    if (own == 0) {
+      fetcher.fetch(peerAddress);
+    } else if (behindSinceMs == 0) {
+      behindSinceMs = nowMs;
+      behindRevision = revision;
+    }
+  }
+
+  // The source usually tells a moment later; a peer is asked only if it does not.
+  private void catchUpIfBehind(long nowMs) {
+    if (behindSinceMs == 0) {
+      return;
+    }
+    if (keeper.state().revision() >= behindRevision) {
+      behindSinceMs = 0;
+    } else if (nowMs - behindSinceMs > CATCH_UP_DELAY_MS) {
+      behindSinceMs = 0;
+      fetcher.fetch(aheadPeer);
+    }
+  }
+
+  // ---- beacons ----
+
+  private synchronized void sendBeacons(long nowMs) {
+    FleetState state = keeper.state();
+    int[] live = balancers.live(nowMs);
+    Map<Integer, TargetPhase> agents = phasesByAddress(state);
+    for (Map.Entry<Integer, TargetPhase> agent : agents.entrySet()) {
+      sendBeacon(agent.getKey(), state.revision(), agent.getValue(), live);
+    }
+    for (int peer : balancers.known(nowMs)) {
+      if (!agents.containsKey(peer)) {
+        sendBeacon(peer, state.revision(), null, live);
+      }
+    }
+  }
+
+  private void sendBeacon(int address, long revision, TargetPhase phase, int[] live) {
+    beaconOut.clear();
+    PeerMessageCodec.encode(
+        new PeerMessage.BalancerBeacon(revision, settings.zone(), phase, live), beaconOut);
+    peerPort.send(beaconOut.flip(), peers.get(address));
+  }
+
+  /** Returns what each agent's machine holds; a machine may serve a newer target than one gone. */
+  private static Map<Integer, TargetPhase> phasesByAddress(FleetState state) {
+    Map<Integer, TargetPhase> phases = new HashMap<>();
+    for (TargetRecord target : state.targets()) {
+      TargetPhase known = phases.get(target.address());
+      if (known == null || target.phase().compareTo(known) < 0) {
+        phases.put(target.address(), target.phase());
+      }
+    }
+    return phases;
+  }
+
+  // ---- datagrams ----
+
+  private void onClientDatagram(int sourceAddress, ByteBuffer datagram) {
+    long nowMs = MonotonicClock.nowMs();
+    lastClientAtMs = nowMs;
+    Segment segment = segments.decodeFromClient(datagram);
+    if (segment == null) {
+      FlowId unknown = new FlowId(sourceAddress, 0, 0, 0);
+      log.decided(Decision.DROPPED_MALFORMED, unknown, 0, "head", -1);
+      return;
+    }
+    balancer.onClientSegment(segment, datagram, nowMs);
+  }
+
+  private void onPeerDatagram(int sourceAddress, ByteBuffer datagram) {
+    long nowMs = MonotonicClock.nowMs();
+    PeerMessage message = PeerMessageCodec.decode(datagram);
+    if (message instanceof PeerMessage.GiveBack giveBack) {
+      Segment segment = segments.decodeFromClient(giveBack.datagram());
+      if (segment != null) {
+        balancer.onGivenBack(
+            sourceAddress,
+            giveBack.reason(),
+            giveBack.configurationVersion(),
+            segment,
+            giveBack.datagram(),
+            nowMs);
+      }
+    } else if (message instanceof PeerMessage.Answer answer) {
+      balancer.onKnowledge(
+          sourceAddress, answer.flow(), answer.knowledge(), answer.targetAddress(), nowMs);
+    } else if (message instanceof PeerMessage.Ask ask) {
+      answer(sourceAddress, ask.flow());
+    } else if (message instanceof PeerMessage.BalancerBeacon beacon) {
+      onBalancerBeacon(sourceAddress, beacon, nowMs);
+    } else if (message instanceof PeerMessage.AgentBeacon beacon) {
+      balancer.onLoad(sourceAddress, beacon.busyFlows(), beacon.stopping(), nowMs);
+      learn(beacon.balancers(), nowMs);
+      noteRevision(sourceAddress, beacon.revision(), nowMs);
+    }
+  }
+
+  private void answer(int peerAddress, FlowId flow) {
+    int target = balancer.knownTarget(flow);
+    if (target != 0) {
+      send(new PeerMessage.Answer(flow, FlowKnowledge.KNOWN_ELSEWHERE, target), peerAddress);
+    }
+  }
+
+  private void onBalancerBeacon(int peer, PeerMessage.BalancerBeacon beacon, long nowMs) {
+    boolean appeared = balancers.heard(peer, nowMs);
+    learn(beacon.balancers(), nowMs);
+    noteRevision(peer, beacon.revision(), nowMs);
+    if (appeared) {
+      log.event("balancer-heard", "peer", Endpoint.of(peer, 0).host());
+      synchronized (this) {
+        sendBeacon(peer, keeper.state().revision(), null, balancers.live(nowMs));
+      }
+    }
+  }
+
+  private void learn(int[] addresses, long nowMs) {
+    for (int address : addresses) {
+      balancers.told(address, nowMs);
+    }
+  }
+
+  private void send(PeerMessage message, int address) {
+    ByteBuffer buffer = ByteBuffer.allocate(PeerMessageCodec.MAX_BYTES);
+    PeerMessageCodec.encode(message, buffer);
+    peerPort.send(buffer.flip(), peers.get(address));
+  }
+
+  /** Carries out decisions; called under the balancer's lock, which guards {@link #out} too. */
+  private final class Actions implements BalancerActions {
+    @Override
+    public void forward(int agentAddress, String service, long version, ByteBuffer datagram) {
+      sendOut(new PeerMessage.Forward(service, version, datagram), agentAddress);
+    }
+
+    private void sendOut(PeerMessage message, int address) {
+      out.clear();
+      PeerMessageCodec.encode(message, out);
+      peerPort.send(out.flip(), peers.get(address));
+    }
+
+    @Override
+    public void ask(int peerAddress, FlowId flow) {
+      sendOut(new PeerMessage.Ask(flow), peerAddress);
+    }
+
+    @Override
+    public void askBalancers(FlowId flow) {
+      int[] live = balancers.live(MonotonicClock.nowMs());
+      for (int i = 0; i < live.length && i < MAX_ASKED_BALANCERS; i++) {
+        ask(live[i], flow);
+      }
+    }
+
+    @Override
+    public void reset(FlowId flow, int sequence) {
+      out.clear();
+      segments.encodeReset(flow, sequence, out);
+      clientPort.send(out, clients.get(flow.clientAddress()));
+    }
+
+    @Override
+    public void catchUp(int peerAddress, long configurationVersion) {
+      fetcher.fetch(peerAddress);
+    }
+  }
+}
--- /dev/null
+++ b/forwarding/src/main/java/io/moorstage/forwarding/FleetStateCodec.java
@@ -0,0 +1,131 @@
+package io.moorstage.forwarding;
+
+import io.moorstage.core.transparent.FleetState;
+import io.moorstage.core.transparent.ForwardingConfiguration;
+import io.moorstage.core.transparent.ForwardingRoute;
+import io.moorstage.core.transparent.TargetPhase;
+import io.moorstage.core.transparent.TargetRecord;
+import io.moorstage.core.transparent.WeightedService;
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+
+/** The form in which nodes hand each other a {@link FleetState}. */
+public final class FleetStateCodec {
+  private static final int FORMAT = 1;
+  private static final int MAX_ENTRIES = 1_000_000;
+
+  private FleetStateCodec() {}
+
+  /** Returns the encoded state. */
+  public static byte[] encode(FleetState state) {
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    try (DataOutputStream out = new DataOutputStream(bytes)) {
+      out.writeByte(FORMAT);
+      out.writeLong(state.revision());
+      writeConfiguration(state.configuration(), out);
+      out.writeInt(state.targets().size());
+      for (TargetRecord target : state.targets()) {
+        writeTarget(target, out);
+      }
+    } catch (IOException e) {
+      throw new IllegalStateException("memory can be written to", e);
+    }
+    return bytes.toByteArray();
+  }
+
+  private static void writeConfiguration(ForwardingConfiguration configuration, DataOutputStream out)
+      throws IOException {
+    out.writeLong(configuration.version());
+    out.writeInt(configuration.idleTimeoutMs());
+    out.writeInt(configuration.routes().size());
+    for (ForwardingRoute route : configuration.routes()) {
+      out.writeInt(route.address());
+      out.writeInt(route.port());
+      out.writeInt(route.services().size());
+      for (WeightedService part : route.services()) {
+        out.writeUTF(part.service());
+        out.writeInt(part.weight());
+      }
+    }
+  }
+
+  private static void writeTarget(TargetRecord target, DataOutputStream out) throws IOException {
+    out.writeUTF(target.id());
+    out.writeUTF(target.service());
+    out.writeInt(target.address());
+    out.writeUTF(target.zone());
+    out.writeInt(target.capacity());
+    out.writeByte(target.phase().ordinal());
+    out.writeInt(target.slowStartMs());
+    out.writeLong(target.revision());
+  }
+
+  /**
+   * Reads a state.
+   *
+   * @throws StateSourceException if the bytes are no state
+   */
+  public static FleetState decode(byte[] bytes) throws StateSourceException {
+    try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(bytes))) {
+      if (in.readByte() != FORMAT) {
+        throw new IOException("unknown format");
+      }
+      long revision = in.readLong();
+      ForwardingConfiguration configuration = readConfiguration(in);
+      int count = readCount(in);
+      List<TargetRecord> targets = new ArrayList<>();
+      for (int i = 0; i < count; i++) {
+        targets.add(readTarget(in));
+      }
+      return FleetState.of(revision, configuration, targets);
+    } catch (IOException e) {
+      throw new StateSourceException(StateSourceFailure.MALFORMED, "a peer's state is malformed", e);
+    }
+  }
+
+  private static int readCount(DataInputStream in) throws IOException {
+    int count = in.readInt();
+    if (count < 0 || count > MAX_ENTRIES) {
+      throw new IOException("count out of range");
+    }
+    return count;
+  }
+
+  private static ForwardingConfiguration readConfiguration(DataInputStream in) throws IOException {
+    long version = in.readLong();
+    int idleTimeoutMs = in.readInt();
+    int count = readCount(in);
+    List<ForwardingRoute> routes = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      int address = in.readInt();
+      int port = in.readInt();
+      int parts = readCount(in);
+      List<WeightedService> services = new ArrayList<>(1);
+      for (int j = 0; j < parts; j++) {
+        services.add(new WeightedService(in.readUTF(), in.readInt()));
+      }
+      routes.add(new ForwardingRoute(address, port, services));
+    }
+    return new ForwardingConfiguration(version, idleTimeoutMs, routes);
+  }
+
+  private static TargetRecord readTarget(DataInputStream in) throws IOException {
+    String id = in.readUTF();
+    String service = in.readUTF();
+    int address = in.readInt();
+    String zone = in.readUTF();
+    int capacity = in.readInt();
+    int phase = in.readByte();
+    TargetPhase[] phases = TargetPhase.values();
+    if (phase < 0 || phase >= phases.length) {
+      throw new IOException("unknown phase");
+    }
+    return new TargetRecord(
+        id, service, address, zone, capacity, phases[phase], in.readInt(), in.readLong());
+  }
+}
--- /dev/null
+++ b/forwarding/src/main/java/io/moorstage/forwarding/MonotonicClock.java
@@ -0,0 +1,12 @@
+package io.moorstage.forwarding;
+
+/** The clock of all decisions; steps of the time of day do not move it. */
+final class MonotonicClock {
+  private static final long NANOS_PER_MS = 1_000_000;
+
+  private MonotonicClock() {}
+
+  static long nowMs() {
+    return System.nanoTime() / NANOS_PER_MS;
+  }
+}
--- /dev/null
+++ b/forwarding/src/main/java/io/moorstage/forwarding/PeerMessage.java
@@ -0,0 +1,70 @@
+package io.moorstage.forwarding;
+
+import io.moorstage.core.transparent.FlowId;
+import io.moorstage.core.transparent.FlowKnowledge;
+import io.moorstage.core.transparent.ReturnReason;
+import io.moorstage.core.transparent.TargetPhase;
+import java.nio.ByteBuffer;
+import javax.annotation.Nullable;
+
+/** A datagram that balancers and agents send to each other. */
+public sealed interface PeerMessage {
+
+  /**
+   * A balancer forwards a client's segment to an agent.
+   *
+   * @param service the service that the flow belongs to
+   * @param configurationVersion the configuration that the balancer decided by
+   * @param datagram the segment
+   */
+  record Forward(String service, long configurationVersion, ByteBuffer datagram)
+      implements PeerMessage {}
+
+  /**
+   * An agent gives a client's segment back.
+   *
+   * @param reason why
+   * @param configurationVersion the newest configuration that the agent has seen in effect
+   * @param datagram the segment
+   */
+  record GiveBack(ReturnReason reason, long configurationVersion, ByteBuffer datagram)
+      implements PeerMessage {}
+
+  /**
+   * A balancer asks for a flow.
+   *
+   * @param flow the flow
+   */
+  record Ask(FlowId flow) implements PeerMessage {}
+
+  /**
+   * The answer to {@link Ask}.
+   *
+   * @param flow the flow
+   * @param knowledge what the answering node knows
+   * @param targetAddress the machine of the target that holds the flow, 0 if unknown
+   */
+  record Answer(FlowId flow, FlowKnowledge knowledge, int targetAddress) implements PeerMessage {}
+
+  /**
+   * A balancer tells that it lives.
+   *
+   * @param revision the source's revision that the balancer has
+   * @param zone the balancer's zone
+   * @param phase how far the receiving agent's target is in its life, or null if not known
+   * @param balancers addresses of balancers that it has heard from
+   */
+  record BalancerBeacon(long revision, String zone, @Nullable TargetPhase phase, int[] balancers)
+      implements PeerMessage {}
+
+  /**
+   * An agent tells that it lives.
+   *
+   * @param revision the source's revision of the state copy that the agent keeps, 0 for none
+   * @param busyFlows flows of its target with a request in progress
+   * @param stopping whether the agent is about to end
+   * @param balancers addresses of balancers that it has heard from
+   */
+  record AgentBeacon(long revision, int busyFlows, boolean stopping, int[] balancers)
+      implements PeerMessage {}
+}
--- /dev/null
+++ b/forwarding/src/main/java/io/moorstage/forwarding/PeerMessageCodec.java
@@ -0,0 +1,155 @@
+package io.moorstage.forwarding;
+
+import io.moorstage.core.transparent.FlowId;
+import io.moorstage.core.transparent.FlowKnowledge;
+import io.moorstage.core.transparent.ReturnReason;
+import io.moorstage.core.transparent.TargetPhase;
+import java.nio.BufferUnderflowException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import javax.annotation.Nullable;
+
+/**
+ * The form of {@link PeerMessage} on the wire, big-endian: a type byte, then the fields in the order
+ * of their declaration; a string has a length byte before it, a list of addresses a count byte.
+ */
+public final class PeerMessageCodec {
+  /** The largest message, in bytes: the largest segment and what precedes it. */
+  public static final int MAX_BYTES = 2_048;
+
+  /** The most addresses that a beacon carries. */
+  public static final int MAX_ADDRESSES = 64;
+
+  private static final byte FORWARD = 1;
+  private static final byte GIVE_BACK = 2;
+  private static final byte ASK = 3;
+  private static final byte ANSWER = 4;
+  private static final byte BALANCER_BEACON = 5;
+  private static final byte AGENT_BEACON = 6;
+  private static final int NO_PHASE = 0xFF;
+  private static final int BYTE_MASK = 0xFF;
+  private static final int SHORT_MASK = 0xFFFF;
+
+  private PeerMessageCodec() {}
+
+  /** Writes a message at the buffer's position. */
+  public static void encode(PeerMessage message, ByteBuffer out) {
+    if (message instanceof PeerMessage.Forward forward) {
+      out.put(FORWARD);
+      putText(forward.service(), out);
+      out.putLong(forward.configurationVersion()).put(forward.datagram().duplicate());
+    } else if (message instanceof PeerMessage.GiveBack giveBack) {
+      out.put(GIVE_BACK).put((byte) giveBack.reason().ordinal());
+      out.putLong(giveBack.configurationVersion()).put(giveBack.datagram().duplicate());
+    } else if (message instanceof PeerMessage.Ask ask) {
+      out.put(ASK);
+      putFlow(ask.flow(), out);
+    } else if (message instanceof PeerMessage.Answer answer) {
+      out.put(ANSWER);
+      putFlow(answer.flow(), out);
+      out.put((byte) answer.knowledge().ordinal()).putInt(answer.targetAddress());
+    } else if (message instanceof PeerMessage.BalancerBeacon beacon) {
+      out.put(BALANCER_BEACON).putLong(beacon.revision());
+      putText(beacon.zone(), out);
+      TargetPhase phase = beacon.phase();
+      out.put((byte) (phase == null ? NO_PHASE : phase.ordinal()));
+      putAddresses(beacon.balancers(), out);
+    } else if (message instanceof PeerMessage.AgentBeacon beacon) {
+      out.put(AGENT_BEACON).putLong(beacon.revision()).putInt(beacon.busyFlows());
+      out.put((byte) (beacon.stopping() ? 1 : 0));
+      putAddresses(beacon.balancers(), out);
+    }
+  }
+
+  private static void putText(String text, ByteBuffer out) {
+    byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+    int length = Math.min(bytes.length, BYTE_MASK);
+    out.put((byte) length).put(bytes, 0, length);
+  }
+
+  private static void putFlow(FlowId flow, ByteBuffer out) {
+    out.putInt(flow.clientAddress()).putShort((short) flow.clientPort());
+    out.putInt(flow.serviceAddress()).putShort((short) flow.servicePort());
+  }
+
+  private static void putAddresses(int[] addresses, ByteBuffer out) {
+    int count = Math.min(addresses.length, MAX_ADDRESSES);
+    out.put((byte) count);
+    for (int i = 0; i < count; i++) {
+      out.putInt(addresses[i]);
+    }
+  }
+
+  /**
+   * Reads a message.
+   *
+   * @param in the datagram; a segment in the message shares its memory
+   * @return the message, or null if the datagram is none
+   */
+  @Nullable
+  public static PeerMessage decode(ByteBuffer in) {
+    try {
+      return decodeFields(in);
+    } catch (BufferUnderflowException e) {
+      return null;
+    }
+  }
+
+  @Nullable
+  private static PeerMessage decodeFields(ByteBuffer in) {
+    switch (in.get()) {
+      case FORWARD:
+        return new PeerMessage.Forward(getText(in), in.getLong(), in.slice());
+      case GIVE_BACK:
+        ReturnReason reason = ReturnReason.ofNumber(in.get());
+        long version = in.getLong();
+        return reason == null ? null : new PeerMessage.GiveBack(reason, version, in.slice());
+      case ASK:
+        return new PeerMessage.Ask(getFlow(in));
+      case ANSWER:
+        FlowId flow = getFlow(in);
+        FlowKnowledge knowledge = FlowKnowledge.ofNumber(in.get());
+        int targetAddress = in.getInt();
+        return knowledge == null ? null : new PeerMessage.Answer(flow, knowledge, targetAddress);
+      case BALANCER_BEACON:
+        return decodeBalancerBeacon(in);
+      case AGENT_BEACON:
+        return new PeerMessage.AgentBeacon(
+            in.getLong(), in.getInt(), in.get() != 0, getAddresses(in));
+      default:
+        return null;
+    }
+  }
+
+  @Nullable
+  private static PeerMessage decodeBalancerBeacon(ByteBuffer in) {
+    long revision = in.getLong();
+    String zone = getText(in);
+    int phaseNumber = in.get() & BYTE_MASK;
+    TargetPhase[] phases = TargetPhase.values();
+    if (phaseNumber != NO_PHASE && phaseNumber >= phases.length) {
+      return null;
+    }
+    TargetPhase phase = phaseNumber == NO_PHASE ? null : phases[phaseNumber];
+    return new PeerMessage.BalancerBeacon(revision, zone, phase, getAddresses(in));
+  }
+
+  private static String getText(ByteBuffer in) {
+    byte[] bytes = new byte[in.get() & BYTE_MASK];
+    in.get(bytes);
+    return new String(bytes, StandardCharsets.UTF_8);
+  }
+
+  private static FlowId getFlow(ByteBuffer in) {
+    return new FlowId(
+        in.getInt(), in.getShort() & SHORT_MASK, in.getInt(), in.getShort() & SHORT_MASK);
+  }
+
+  private static int[] getAddresses(ByteBuffer in) {
+    int[] addresses = new int[in.get() & BYTE_MASK];
+    for (int i = 0; i < addresses.length; i++) {
+      addresses[i] = in.getInt();
+    }
+    return addresses;
+  }
+}
--- /dev/null
+++ b/forwarding/src/main/java/io/moorstage/forwarding/PeerStateClient.java
@@ -0,0 +1,42 @@
+package io.moorstage.forwarding;
+
+import io.moorstage.core.model.Endpoint;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.HttpURLConnection;
+import java.net.URL;
+
+/** Reads the state of another node. */
+final class PeerStateClient {
+  static final String PATH = "/state";
+  private static final int TIMEOUT_MS = 700;
+  private static final int MAX_BYTES = 64 << 20;
+  private static final int OK = 200;
+
+  private final int statePort;
+
+  PeerStateClient(int statePort) {
+    this.statePort = statePort;
+  }
+
+  /** Returns the encoded state of a node. */
+  byte[] read(int address) throws StateSourceException {
+    Endpoint peer = Endpoint.of(address, statePort);
+    try {
+      HttpURLConnection connection =
+          (HttpURLConnection) new URL("http://" + peer + PATH).openConnection();
+      connection.setConnectTimeout(TIMEOUT_MS);
+      connection.setReadTimeout(TIMEOUT_MS);
+      if (connection.getResponseCode() != OK) {
+        connection.disconnect();
+        throw new StateSourceException(StateSourceFailure.REFUSED, peer + " has no state");
+      }
+      try (InputStream in = connection.getInputStream()) {
+        return in.readNBytes(MAX_BYTES);
+      }
+    } catch (IOException e) {
+      throw new StateSourceException(
+          StateSourceFailure.UNREACHABLE, peer + " gives no state", e);
+    }
+  }
+}
--- /dev/null
+++ b/forwarding/src/main/java/io/moorstage/forwarding/PeerStateFetcher.java
@@ -0,0 +1,66 @@
+package io.moorstage.forwarding;
+
+import java.util.LinkedHashSet;
+import java.util.Set;
+
+/** Gets the state of peers that know more than this process, one at a time. */
+final class PeerStateFetcher {
+  private final PeerStateClient client;
+  private final StateTaker taker;
+  private final EventLog log;
+  private final Set<Integer> wanted = new LinkedHashSet<>();
+
+  /** Takes the encoded state of a peer. */
+  interface StateTaker {
+    /** Takes a state. */
+    void take(int peerAddress, byte[] encoded) throws StateSourceException;
+  }
+
+  PeerStateFetcher(PeerStateClient client, StateTaker taker, EventLog log) {
+    this.client = client;
+    this.taker = taker;
+    this.log = log;
+  }
+
+  void start() {
+    Thread thread = new Thread(this::fetchForever, "peer-state");
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  /** Asks for the state of a peer; nothing happens if that is already asked for. */
+  synchronized void fetch(int peerAddress) {
+    if (wanted.add(peerAddress)) {
+      notifyAll();
+    }
+  }
+
+  private synchronized int next() throws InterruptedException {
+    while (wanted.isEmpty()) {
+      wait();
+    }
+    return wanted.iterator().next();
+  }
+
+  private synchronized void done(int peerAddress) {
+    wanted.remove(peerAddress);
+  }
+
+  private void fetchForever() {
+    try {
+      while (true) {
+        int peer = next();
+        try {
+          taker.take(peer, client.read(peer));
+        } catch (StateSourceException e) {
+          log.event("peer-state-failed", "failure", e.failure().code(), "detail", e.getMessage());
+        } catch (RuntimeException e) {
+          log.event("internal-error", "detail", String.valueOf(e));
+        }
+        done(peer);
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- /dev/null
+++ b/forwarding/src/main/java/io/moorstage/forwarding/SourceFollower.java
@@ -0,0 +1,102 @@
+package io.moorstage.forwarding;
+
+import io.moorstage.core.transparent.FleetState;
+import io.moorstage.core.transparent.StateChanges;
+import java.util.concurrent.ThreadLocalRandom;
+
+/**
+ * Follows the configuration source: reads everything once, then waits for changes, and reads
+ * everything again only when the source has lost its history.
+ */
+final class SourceFollower {
+  private static final int WAIT_MS = 1_000;
+  private static final int FIRST_BACKOFF_MS = 60;
+  private static final int MAX_BACKOFF_MS = 600;
+
+  private final StateSource source;
+  private final StateKeeper keeper;
+  private final EventLog log;
+  private final ConfirmationListener listener;
+  private boolean complete;
+  private boolean answering = true;
+  private int failures;
+
+  /** Hears that the state was current at some time. */
+  interface ConfirmationListener {
+    /** The source has answered; nothing newer existed when the call began. */
+    void onConfirmed(long nowMs);
+  }
+
+  SourceFollower(
+      StateSource source, StateKeeper keeper, ConfirmationListener listener, EventLog log) {
+    this.source = source;
+    this.keeper = keeper;
+    this.listener = listener;
+    this.log = log;
+  }
+
+  void start() {
+    Thread thread = new Thread(this::followForever, "source-follower");
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  private void followForever() {
+    try {
+      while (true) {
+        try {
+          step();
+          succeeded();
+        } catch (StateSourceException e) {
+          failed(e);
+        } catch (RuntimeException e) {
+          log.event("internal-error", "detail", String.valueOf(e));
+          Thread.sleep(MAX_BACKOFF_MS);
+        }
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private void step() throws StateSourceException {
+    if (!complete) {
+      FleetState reading = source.readAll();
+      keeper.replaceBy(reading, MonotonicClock.nowMs());
+      complete = true;
+    } else {
+      StateChanges changes = source.awaitChanges(keeper.state().revision(), WAIT_MS);
+      keeper.apply(changes, MonotonicClock.nowMs());
+    }
+  }
+
+  private void succeeded() {
+    failures = 0;
+    listener.onConfirmed(MonotonicClock.nowMs());
+    if (!answering) {
+      answering = true;
+      log.event("source-regained", "revision", keeper.state().revision());
+    }
+  }
+
+  private void failed(StateSourceException e) throws InterruptedException {
+    if (answering) {
+      answering = false;
+      log.event(
+          "source-lost",
+          "failure",
+          e.failure().code(),
+          "detail",
+          e.getMessage(),
+          "revision",
+          keeper.state().revision());
+    }
+    if (e.failure() == StateSourceFailure.HISTORY_GONE) {
+      complete = false;
+    }
+    int cap = Math.min(MAX_BACKOFF_MS, FIRST_BACKOFF_MS << Math.min(failures, 4));
+    failures++;
+    // Full jitter above a floor, so that machines that lost the source together come back apart.
+    Thread.sleep(FIRST_BACKOFF_MS / 2 + ThreadLocalRandom.current().nextInt(cap));
+  }
+}
--- /dev/null
+++ b/forwarding/src/main/java/io/moorstage/forwarding/StateKeeper.java
@@ -0,0 +1,83 @@
+package io.moorstage.forwarding;
+
+import io.moorstage.core.transparent.FleetState;
+import io.moorstage.core.transparent.StateChanges;
+import io.moorstage.core.transparent.TargetPhase;
+import io.moorstage.core.transparent.TargetRecord;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.UnaryOperator;
+
+/**
+ * Holds the newest state that this process knows, whoever told it, and passes each newer one on.
+ * States only go forward.
+ */
+final class StateKeeper {
+  private final int goneMemoryMs;
+  private final Listener listener;
+  private final Map<String, Long> goneSinceMs = new HashMap<>();
+  private FleetState state = FleetState.EMPTY;
+  private byte[] encoded;
+
+  /** Takes each newer state. */
+  interface Listener {
+    /** Takes a state; calls come one at a time, in order. */
+    void onState(FleetState before, FleetState after, long nowMs);
+  }
+
+  StateKeeper(int goneMemoryMs, Listener listener) {
+    this.goneMemoryMs = goneMemoryMs;
+    this.listener = listener;
+  }
+
+  synchronized FleetState state() {
+    return state;
+  }
+
+  void replaceBy(FleetState reading, long nowMs) {
+    change(current -> current.replaceBy(reading), nowMs);
+  }
+
+  void apply(StateChanges changes, long nowMs) {
+    change(current -> current.apply(changes), nowMs);
+  }
+
+  void merge(FleetState other, long nowMs) {
+    change(current -> current.merge(other), nowMs);
+  }
+
+  private synchronized void change(UnaryOperator<FleetState> step, long nowMs) {
+    FleetState before = state;
+    state = forgetGone(step.apply(before), nowMs);
+    encoded = null;
+    listener.onState(before, state, nowMs);
+  }
+
+  private FleetState forgetGone(FleetState newer, long nowMs) {
+    List<String> forgotten = new ArrayList<>(0);
+    for (TargetRecord target : newer.targets()) {
+      if (target.phase() != TargetPhase.GONE) {
+        continue;
+      }
+      Long since = goneSinceMs.putIfAbsent(target.id(), nowMs);
+      if (since != null && nowMs - since > goneMemoryMs) {
+        forgotten.add(target.id());
+        goneSinceMs.remove(target.id());
+      }
+    }
+    return forgotten.isEmpty() ? newer : newer.without(forgotten);
+  }
+
+  /** Returns the encoded state, or null if nothing is known. */
+  synchronized byte[] encoded() {
+    if (state.revision() == 0) {
+      return null;
+    }
+    if (encoded == null) {
+      encoded = FleetStateCodec.encode(state);
+    }
+    return encoded;
+  }
+}
--- /dev/null
+++ b/forwarding/src/main/java/io/moorstage/forwarding/StateSource.java
@@ -0,0 +1,29 @@
+package io.moorstage.forwarding;
+
+import io.moorstage.core.transparent.FleetState;
+import io.moorstage.core.transparent.StateChanges;
+
+/**
+ * Where configuration and targets come from: a service that can only be read. Its acknowledgement of
+ * a configuration is the acceptance.
+ */
+public interface StateSource {
+
+  /**
+   * Reads everything.
+   *
+   * @throws StateSourceException if the source gives no usable answer
+   */
+  FleetState readAll() throws StateSourceException;
+
+  /**
+   * Waits for changes.
+   *
+   * @param afterRevision the revision up to which all changes are known
+   * @param waitMs how long to wait for a change, in milliseconds
+   * @return the changes, none if there were none in that time
+   * @throws StateSourceException if the source gives no usable answer, or no longer knows the
+   *     changes since that revision
+   */
+  StateChanges awaitChanges(long afterRevision, int waitMs) throws StateSourceException;
+}
--- /dev/null
+++ b/forwarding/src/main/java/io/moorstage/forwarding/UdpPort.java
@@ -0,0 +1,98 @@
+package io.moorstage.forwarding;
+
+import io.moorstage.core.model.Endpoint;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.net.UnknownHostException;
+import java.nio.ByteBuffer;
+import java.nio.channels.DatagramChannel;
+import java.util.concurrent.atomic.LongAdder;
+
+/** A bound UDP socket with a thread that takes datagrams; sending never waits for a peer. */
+final class UdpPort {
+  private static final int RECEIVE_BUFFER_BYTES = 1 << 20;
+  private static final int OCTET_BITS = 8;
+  private static final int OCTETS = 4;
+
+  private final DatagramChannel channel;
+  private final LongAdder sendFailures = new LongAdder();
+
+  /** Takes datagrams. */
+  interface Receiver {
+    /**
+     * Takes a datagram.
+     *
+     * @param sourceAddress the sender's IPv4 address
+     * @param datagram valid until the call returns
+     */
+    void receive(int sourceAddress, ByteBuffer datagram);
+  }
+
+  private UdpPort(DatagramChannel channel) {
+    this.channel = channel;
+  }
+
+  static UdpPort bind(Endpoint endpoint) throws IOException {
+    DatagramChannel channel = DatagramChannel.open();
+    channel.setOption(StandardSocketOptions.SO_RCVBUF, RECEIVE_BUFFER_BYTES);
+    channel.bind(socketAddress(endpoint.ipv4(), endpoint.port()));
+    return new UdpPort(channel);
+  }
+
+  static InetSocketAddress socketAddress(int address, int port) {
+    byte[] octets = new byte[OCTETS];
+    for (int i = 0; i < OCTETS; i++) {
+      octets[i] = (byte) (address >>> (OCTETS - 1 - i) * OCTET_BITS);
+    }
+    try {
+      return new InetSocketAddress(InetAddress.getByAddress(octets), port);
+    } catch (UnknownHostException e) {
+      throw new IllegalStateException("four octets are an address", e);
+    }
+  }
+
+  /** Starts the thread that takes datagrams. */
+  void start(String threadName, Receiver receiver, EventLog log) {
+    Thread thread = new Thread(() -> receiveAll(receiver, log), threadName);
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  private void receiveAll(Receiver receiver, EventLog log) {
+    ByteBuffer buffer = ByteBuffer.allocateDirect(PeerMessageCodec.MAX_BYTES);
+    while (channel.isOpen()) {
+      try {
+        buffer.clear();
+        InetSocketAddress source = (InetSocketAddress) channel.receive(buffer);
+        buffer.flip();
+        if (source != null) {
+          receiver.receive(addressOf(source), buffer);
+        }
+      } catch (IOException e) {
+        // An unreachable peer shows here on some systems; the socket itself stays usable.
+        log.event("receive-failed", "detail", e.getClass().getSimpleName());
+      } catch (RuntimeException e) {
+        log.event("internal-error", "detail", String.valueOf(e));
+      }
+    }
+  }
+
+  private static int addressOf(InetSocketAddress source) {
+    int address = 0;
+    for (byte octet : source.getAddress().getAddress()) {
+      address = address << OCTET_BITS | (octet & 0xFF);
+    }
+    return address;
+  }
+
+  /** Sends a datagram; a failure is counted and is the same as a loss on the way. */
+  void send(ByteBuffer datagram, InetSocketAddress destination) {
+    try {
+      channel.send(datagram, destination);
+    } catch (IOException e) {
+      sendFailures.increment();
+    }
+  }
+}
