--- a/core/src/main/java/io/moorstage/core/transparent/BalancerFlow.java
+++ b/core/src/main/java/io/moorstage/core/transparent/BalancerFlow.java
@@ -63,6 +63,10 @@
     final List<TargetSlot> unanswered;
     final List<TargetSlot> candidates = new ArrayList<>(0);
     int acknowledged;
+
+    /** Whether every target that may hold the flow has been heard. */
+    boolean conclusive = true;
+
     long deadlineMs;
     @Nullable TargetSlot offeredTo;
 
--- a/core/src/main/java/io/moorstage/core/transparent/Decision.java
+++ b/core/src/main/java/io/moorstage/core/transparent/Decision.java
@@ -26,8 +26,8 @@
   RESET_NO_TARGET,
   /** A segment without a route was dropped, as the configuration may be old. */
   DROPPED_NO_ROUTE,
-  /** A new flow was dropped: this balancer knows no state yet. */
-  DROPPED_NO_STATE,
+  /** A new flow waits, as its service has no target now. */
+  HELD_FOR_TARGET,
   /** A new flow waits until this balancer has a newer configuration. */
   HELD_FOR_CONFIGURATION,
   /** An agent delivered an opening segment to its target. */
--- a/core/src/main/java/io/moorstage/core/transparent/FlowBalancer.java
+++ b/core/src/main/java/io/moorstage/core/transparent/FlowBalancer.java
@@ -17,6 +17,8 @@
   private static final int MAX_ASKED_AGENTS = 24;
   private static final int MAX_WAITING_OPENS = 512;
   private static final int CONFIGURATION_WAIT_MS = 180;
+  private static final int MAX_EARLY_SEGMENTS = 2_048;
+  private static final int EARLY_MEMORY_MS = 1_000;
 
   private final ForwardingPolicy policy;
   private final BalancerActions actions;
@@ -24,22 +26,37 @@
   private final Map<FlowId, BalancerFlow> flows = new HashMap<>();
   private final List<BalancerFlow> locating = new ArrayList<>();
   private final List<WaitingOpen> waitingOpens = new ArrayList<>();
+  private final List<EarlySegment> earlySegments = new ArrayList<>();
+  private final Map<Integer, HeardAgent> heardAgents = new HashMap<>();
+  private final long startedAtMs;
   private TargetPools pools = TargetPools.EMPTY;
   private FleetState state = FleetState.EMPTY;
   private long confirmedUntilMs = Long.MIN_VALUE;
   private long stateAtMs;
 
-  /** An opening segment that waits for a newer configuration. */
+  /**
+   * An opening segment that waits: for a configuration of at least some version, or, if that is 0,
+   * for a target.
+   */
   private record WaitingOpen(Segment segment, byte[] datagram, long version, long deadlineMs) {}
 
+  /** A client's segment that came before this balancer knew any configuration. */
+  private record EarlySegment(Segment segment, byte[] datagram, long atMs) {}
+
+  /** An agent that has told of itself, whether or not the source lists its target. */
+  private record HeardAgent(String service, TargetSlot slot, long heardAtMs) {}
+
   /**
    * Creates a balancer without state.
    *
    * @param policy times and bounds
    * @param actions takes what is decided
    * @param log takes each decision
+   * @param nowMs the time of the start
    */
-  public FlowBalancer(ForwardingPolicy policy, BalancerActions actions, DecisionLog log) {
+  public FlowBalancer(
+      ForwardingPolicy policy, BalancerActions actions, DecisionLog log, long nowMs) {
+    this.startedAtMs = nowMs;
     this.policy = policy;
     this.actions = actions;
     this.log = log;
@@ -53,12 +70,34 @@
     List<WaitingOpen> waiting = new ArrayList<>(waitingOpens);
     waitingOpens.clear();
     for (WaitingOpen open : waiting) {
-      if (open.version() <= newer.configuration().version()) {
+      boolean hasTarget = open.version() > 0 || hasTarget(open.segment(), nowMs);
+      if (open.version() <= newer.configuration().version() && hasTarget) {
         open(open.segment(), ByteBuffer.wrap(open.datagram()), nowMs);
       } else {
         waitingOpens.add(open);
       }
     }
+    if (newer.configuration().version() > 0) {
+      handleEarlySegments(nowMs);
+    }
+  }
+
+  // A segment that is handled late is answered sooner than one that its client has to repeat.
+  private void handleEarlySegments(long nowMs) {
+    List<EarlySegment> early = new ArrayList<>(earlySegments);
+    earlySegments.clear();
+    for (EarlySegment segment : early) {
+      if (nowMs - segment.atMs() <= EARLY_MEMORY_MS) {
+        onClientSegment(segment.segment(), ByteBuffer.wrap(segment.datagram()), nowMs);
+      }
+    }
+  }
+
+  private boolean hasTarget(Segment segment, long nowMs) {
+    ForwardingRoute route = state.configuration().routeOf(segment.flow());
+    String service = route == null ? null : route.serviceOf(segment.flow());
+    TargetPool pool = service == null ? null : pools.ofService(service);
+    return pool != null && pool.choose(segment.flow(), List.of(), nowMs) != null;
   }
 
   /** The configuration source has confirmed that the state is current until some time. */
@@ -69,11 +108,16 @@
   /**
    * Takes what an agent tells of its target.
    *
+   * @param service the target's service
    * @param busyFlows flows with a request in progress
    * @param stopping whether the agent is about to end
    */
-  public synchronized void onLoad(
-      int agentAddress, int busyFlows, boolean stopping, long nowMs) {
+  public synchronized void onAgent(
+      int agentAddress, String service, int busyFlows, boolean stopping, long nowMs) {
+    HeardAgent known = heardAgents.get(agentAddress);
+    boolean same = known != null && known.service().equals(service);
+    TargetSlot heardSlot = same ? known.slot() : unlistedSlot(agentAddress, service, nowMs);
+    heardAgents.put(agentAddress, new HeardAgent(service, heardSlot, stopping ? 0 : nowMs));
     for (TargetSlot slot : pools.slots()) {
       if (slot.address() == agentAddress && slot.record().phase() != TargetPhase.GONE) {
         slot.reportBusy(busyFlows, nowMs);
@@ -85,8 +129,25 @@
     }
   }
 
+  private static TargetSlot unlistedSlot(int agentAddress, String service, long nowMs) {
+    String id = "agent-" + Integer.toHexString(agentAddress);
+    return new TargetSlot(
+        new TargetRecord(id, service, agentAddress, "", 1, TargetPhase.GONE, 0, 0), nowMs);
+  }
+
+  private boolean isAgentHeard(int agentAddress, long nowMs) {
+    HeardAgent agent = heardAgents.get(agentAddress);
+    return agent != null && nowMs - agent.heardAtMs() <= policy.agentSilenceMs();
+  }
+
   /** Takes a segment from a client. */
   public synchronized void onClientSegment(Segment segment, ByteBuffer datagram, long nowMs) {
+    if (state.configuration().version() == 0) {
+      if (earlySegments.size() < MAX_EARLY_SEGMENTS) {
+        earlySegments.add(new EarlySegment(segment, copyOf(datagram), nowMs));
+      }
+      return;
+    }
     if (segment.kind() == Segment.Kind.OPEN) {
       open(segment, datagram, nowMs);
       return;
@@ -175,7 +236,7 @@
     TargetPool pool = pools.ofService(flow.service);
     TargetSlot chosen = pool == null ? null : pool.choose(flow.id, flow.tried, nowMs);
     if (chosen == null) {
-      refuse(flow, segment, nowMs);
+      refuse(flow, segment, datagram, nowMs);
       return;
     }
     Decision decision = flow.tried.isEmpty() ? Decision.PLACED : Decision.PLACED_AGAIN;
@@ -186,21 +247,43 @@
     send(flow, chosen, datagram);
   }
 
-  private void refuse(BalancerFlow flow, Segment segment, long nowMs) {
-    if (state.revision() == 0) {
-      log.decided(Decision.DROPPED_NO_STATE, flow.id, 0, "no-state", -1);
-      forget(flow);
-      return;
-    }
+  private void refuse(
+      BalancerFlow flow, Segment segment, ByteBuffer datagram, long nowMs) {
     if (flow.unreturnedOpens > 0) {
       // A target may still accept: a reset could hit an open flow.
       flow.tried.clear();
       return;
     }
     forget(flow);
+    if (flow.tried.isEmpty() && waitForTarget(segment, datagram, nowMs)) {
+      return;
+    }
     resetOpening(segment, "no-target", nowMs);
   }
 
+  // Just after a start or an outage of the source, targets are listed one by one: a short wait
+  // serves the flow, where a reset would use up the client's retries within milliseconds.
+  private boolean waitForTarget(Segment segment, ByteBuffer datagram, long nowMs) {
+    for (WaitingOpen open : waitingOpens) {
+      if (open.segment().flow().equals(segment.flow())) {
+        return true;
+      }
+    }
+    if (waitingOpens.size() >= MAX_WAITING_OPENS) {
+      return false;
+    }
+    log.decided(Decision.HELD_FOR_TARGET, segment.flow(), 0, "no-target", ageOfState(nowMs));
+    long deadlineMs = nowMs + policy.openWaitMs();
+    waitingOpens.add(new WaitingOpen(segment, copyOf(datagram), 0, deadlineMs));
+    return true;
+  }
+
+  private static byte[] copyOf(ByteBuffer datagram) {
+    byte[] copy = new byte[datagram.remaining()];
+    datagram.get(datagram.position(), copy);
+    return copy;
+  }
+
   private void resetOpening(Segment segment, String reason, long nowMs) {
     log.decided(Decision.RESET_NO_TARGET, segment.flow(), 0, reason, ageOfState(nowMs));
     actions.reset(segment.flow(), segment.acknowledged());
@@ -288,10 +371,8 @@
         "older-than-agent",
         ageOfState(nowMs));
     if (waitingOpens.size() < MAX_WAITING_OPENS) {
-      byte[] copy = new byte[datagram.remaining()];
-      datagram.get(datagram.position(), copy);
       long deadlineMs = nowMs + CONFIGURATION_WAIT_MS;
-      waitingOpens.add(new WaitingOpen(segment, copy, version, deadlineMs));
+      waitingOpens.add(new WaitingOpen(segment, copyOf(datagram), version, deadlineMs));
     }
     actions.catchUp(agentAddress, version);
   }
@@ -357,10 +438,11 @@
     for (TargetPool pool : poolsOf(flow)) {
       for (TargetSlot slot : pool.byRank(flow.id)) {
         if (slot != excluded && asked.size() < MAX_ASKED_AGENTS) {
-          asked.add(slot);
+          addIfMayHold(asked, slot, nowMs);
         }
       }
     }
+    addUnlisted(flow, asked, excluded, nowMs);
     Location location = new Location(asked, nowMs + policy.locateTimeoutMs());
     location.acknowledged = segment.acknowledged();
     location.hold(datagram, policy.maxHeldSegments());
@@ -379,6 +461,35 @@
     actions.askBalancers(flow.id);
   }
 
+  private void addIfMayHold(List<TargetSlot> asked, TargetSlot slot, long nowMs) {
+    for (TargetSlot known : asked) {
+      if (known.address() == slot.address()) {
+        return;
+      }
+    }
+    // A target that has gone, and whose agent has fallen silent, has ended with its flows.
+    boolean gone = slot.record().phase() == TargetPhase.GONE;
+    if (!gone || isAgentHeard(slot.address(), nowMs)) {
+      asked.add(slot);
+    }
+  }
+
+  // A target may serve on though the source never listed it since this balancer has started.
+  private void addUnlisted(
+      BalancerFlow flow, List<TargetSlot> asked, @Nullable TargetSlot excluded, long nowMs) {
+    ForwardingRoute route = state.configuration().routeOf(flow.id);
+    for (HeardAgent agent : heardAgents.values()) {
+      boolean excludedToo = excluded != null && excluded.address() == agent.slot().address();
+      boolean serves =
+          route == null
+              ? agent.service().equals(flow.service)
+              : route.sharesFlowsWith(agent.service());
+      if (serves && !excludedToo && isAgentHeard(agent.slot().address(), nowMs)) {
+        addIfMayHold(asked, agent.slot(), nowMs);
+      }
+    }
+  }
+
   /** Returns the pools that may hold a flow: any service that its route shares flows among. */
   private List<TargetPool> poolsOf(BalancerFlow flow) {
     List<TargetPool> found = new ArrayList<>(1);
@@ -455,7 +566,8 @@
         return slot;
       }
     }
-    return null;
+    HeardAgent agent = heardAgents.get(address);
+    return agent == null ? null : agent.slot();
   }
 
   private void found(BalancerFlow flow, TargetSlot holder, String reason, long nowMs) {
@@ -471,9 +583,7 @@
   private void offerNext(BalancerFlow flow, long nowMs) {
     Location location = flow.location;
     if (location.candidates.isEmpty()) {
-      log.decided(Decision.NOT_FOUND, flow.id, 0, "nobody-knows", ageOfState(nowMs));
-      endLocation(flow);
-      forget(flow);
+      notFound(flow, location, nowMs);
       return;
     }
     TargetSlot candidate = highestRanked(flow, location.candidates);
@@ -484,6 +594,20 @@
     send(flow, candidate, ByteBuffer.wrap(location.held.get(0)));
   }
 
+  // Each agent has answered for its target, or the target itself has returned a segment: if that
+  // holds for all, no target holds the flow, and a reset lets the client try again at once.
+  private void notFound(BalancerFlow flow, Location location, long nowMs) {
+    boolean learned = nowMs - startedAtMs > policy.learnMs();
+    if (location.conclusive && learned) {
+      log.decided(Decision.RESET_LOST, flow.id, 0, "held-by-none", ageOfState(nowMs));
+      actions.reset(flow.id, location.acknowledged);
+    } else {
+      log.decided(Decision.NOT_FOUND, flow.id, 0, "nobody-knows", ageOfState(nowMs));
+    }
+    endLocation(flow);
+    forget(flow);
+  }
+
   private static TargetSlot highestRanked(BalancerFlow flow, List<TargetSlot> candidates) {
     long flowHash = flow.id.hash();
     TargetSlot highest = candidates.get(0);
@@ -517,6 +641,7 @@
         continue;
       }
       if (location.offeredTo == null) {
+        location.conclusive &= location.unanswered.isEmpty();
         location.unanswered.clear();
         offerNext(flow, nowMs);
       } else {
@@ -526,7 +651,19 @@
         found(flow, holder, "kept-offer", nowMs);
       }
     }
-    waitingOpens.removeIf(open -> open.deadlineMs() <= nowMs);
+    endWaits(nowMs);
+  }
+
+  private void endWaits(long nowMs) {
+    for (Iterator<WaitingOpen> all = waitingOpens.iterator(); all.hasNext(); ) {
+      WaitingOpen open = all.next();
+      if (open.deadlineMs() <= nowMs) {
+        all.remove();
+        if (open.version() == 0) {
+          resetOpening(open.segment(), "no-target-came", nowMs);
+        }
+      }
+    }
   }
 
   /** Forgets flows that have ended or rested for long; called about once a second. */
--- a/core/src/main/java/io/moorstage/core/transparent/ForwardingPolicy.java
+++ b/core/src/main/java/io/moorstage/core/transparent/ForwardingPolicy.java
@@ -6,6 +6,10 @@
  * @param locateTimeoutMs how long a balancer waits for answers about an unknown flow
  * @param offerTimeoutMs how long a balancer waits for a target to return a segment offered to it
  * @param maxHeldSegments segments of one unknown flow that are held while it is located
+ * @param openWaitMs how long a new flow waits while its service has no target
+ * @param learnMs for how long a balancer that has started hears of agents before it takes their
+ *     answers for complete
+ * @param agentSilenceMs after how long without a beacon an agent's machine counts as away
  * @param silenceMs after how long without an answer to an opening segment a target counts as silent
  * @param suspicionMs for how long a silent target gets no new flow
  * @param closedLingerMs how long a closed flow is remembered
@@ -17,6 +21,9 @@
     int locateTimeoutMs,
     int offerTimeoutMs,
     int maxHeldSegments,
+    int openWaitMs,
+    int learnMs,
+    int agentSilenceMs,
     int silenceMs,
     int suspicionMs,
     int closedLingerMs,
@@ -25,5 +32,6 @@
 
   /** Values for a deployment whose flows live up to a minute. */
   public static final ForwardingPolicy STANDARD =
-      new ForwardingPolicy(40, 20, 4, 80, 1_000, 5_000, 65_000, 70_000);
+      new ForwardingPolicy(
+          40, 20, 4, 400, 1_200, 1_800, 80, 1_000, 5_000, 65_000, 70_000);
 }
--- a/core/src/main/java/io/moorstage/core/transparent/ForwardingRoute.java
+++ b/core/src/main/java/io/moorstage/core/transparent/ForwardingRoute.java
@@ -12,6 +12,16 @@
  */
 public record ForwardingRoute(int address, int port, List<WeightedService> services) {
 
+  /** Returns whether a service takes a share of the route's flows. */
+  public boolean sharesFlowsWith(String service) {
+    for (WeightedService part : services) {
+      if (part.service().equals(service)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Returns the key under which a flow finds its route. */
   public long key() {
     return FlowId.pack(address, port);
--- a/forwarding/src/main/java/io/moorstage/forwarding/AgentDaemon.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/AgentDaemon.java
@@ -120,17 +120,24 @@
     }
   }
 
-  private synchronized void sendBeacons(long nowMs) {
-    PeerMessage beacon =
-        new PeerMessage.AgentBeacon(
-            copyRevision, agent.busyFlows(), stopping, balancers.live(nowMs));
+  private void sendBeacons(long nowMs) {
+    PeerMessage beacon = beaconNow(nowMs);
     for (int balancer : balancers.known(nowMs)) {
-      beaconOut.clear();
-      PeerMessageCodec.encode(beacon, beaconOut);
-      peerPort.send(beaconOut.flip(), peers.get(balancer));
+      sendBeacon(beacon, balancer);
     }
   }
 
+  private PeerMessage beaconNow(long nowMs) {
+    return new PeerMessage.AgentBeacon(
+        settings.service(), copyRevision, agent.busyFlows(), stopping, balancers.live(nowMs));
+  }
+
+  private synchronized void sendBeacon(PeerMessage beacon, int address) {
+    beaconOut.clear();
+    PeerMessageCodec.encode(beacon, beaconOut);
+    peerPort.send(beaconOut.flip(), peers.get(address));
+  }
+
   private void onTargetDatagram(int sourceAddress, ByteBuffer datagram) {
     Segment segment = segments.decodeFromTarget(datagram);
     if (segment == null) {
@@ -160,6 +167,19 @@
       answer(sourceAddress, ask.flow(), nowMs);
     } else if (message instanceof PeerMessage.BalancerBeacon beacon) {
       onBalancerBeacon(sourceAddress, beacon, nowMs);
+    } else if (message instanceof PeerMessage.AgentBeacon beacon) {
+      onAgentBeacon(sourceAddress, beacon, nowMs);
+    }
+  }
+
+  // Another agent was told of this one as a seed, and looks for balancers.
+  private void onAgentBeacon(int peer, PeerMessage.AgentBeacon beacon, long nowMs) {
+    for (int address : beacon.balancers()) {
+      balancers.told(address, nowMs);
+    }
+    int[] live = balancers.live(nowMs);
+    if (live.length > 0 && beacon.balancers().length == 0) {
+      sendBeacon(beaconNow(nowMs), peer);
     }
   }
 
--- a/forwarding/src/main/java/io/moorstage/forwarding/BalancerDaemon.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/BalancerDaemon.java
@@ -59,7 +59,8 @@
     this.settings = settings;
     this.segments = segments;
     this.log = log;
-    this.balancer = new FlowBalancer(ForwardingPolicy.STANDARD, new Actions(), log);
+    this.balancer = new FlowBalancer(
+            ForwardingPolicy.STANDARD, new Actions(), log, MonotonicClock.nowMs());
     this.keeper = new StateKeeper(ForwardingPolicy.STANDARD.goneMemoryMs(), this::onState);
     this.balancers = new PeerDirectory(settings.address());
     this.peers = new AddressCache(settings.peerPort());
@@ -299,7 +300,8 @@
     } else if (message instanceof PeerMessage.BalancerBeacon beacon) {
       onBalancerBeacon(sourceAddress, beacon, nowMs);
     } else if (message instanceof PeerMessage.AgentBeacon beacon) {
-      balancer.onLoad(sourceAddress, beacon.busyFlows(), beacon.stopping(), nowMs);
+      balancer.onAgent(
+          sourceAddress, beacon.service(), beacon.busyFlows(), beacon.stopping(), nowMs);
       learn(beacon.balancers(), nowMs);
       noteRevision(sourceAddress, beacon.revision(), nowMs);
     }
--- a/forwarding/src/main/java/io/moorstage/forwarding/PeerMessage.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/PeerMessage.java
@@ -60,11 +60,13 @@
   /**
    * An agent tells that it lives.
    *
+   * @param service the service of its target
    * @param revision the source's revision of the state copy that the agent keeps, 0 for none
    * @param busyFlows flows of its target with a request in progress
    * @param stopping whether the agent is about to end
    * @param balancers addresses of balancers that it has heard from
    */
-  record AgentBeacon(long revision, int busyFlows, boolean stopping, int[] balancers)
+  record AgentBeacon(
+      String service, long revision, int busyFlows, boolean stopping, int[] balancers)
       implements PeerMessage {}
 }
--- a/forwarding/src/main/java/io/moorstage/forwarding/PeerMessageCodec.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/PeerMessageCodec.java
@@ -55,7 +55,9 @@
       out.put((byte) (phase == null ? NO_PHASE : phase.ordinal()));
       putAddresses(beacon.balancers(), out);
     } else if (message instanceof PeerMessage.AgentBeacon beacon) {
-      out.put(AGENT_BEACON).putLong(beacon.revision()).putInt(beacon.busyFlows());
+      out.put(AGENT_BEACON);
+      putText(beacon.service(), out);
+      out.putLong(beacon.revision()).putInt(beacon.busyFlows());
       out.put((byte) (beacon.stopping() ? 1 : 0));
       putAddresses(beacon.balancers(), out);
     }
@@ -115,7 +117,7 @@
         return decodeBalancerBeacon(in);
       case AGENT_BEACON:
         return new PeerMessage.AgentBeacon(
-            in.getLong(), in.getInt(), in.get() != 0, getAddresses(in));
+            getText(in), in.getLong(), in.getInt(), in.get() != 0, getAddresses(in));
       default:
         return null;
     }
