--- a/core/src/main/java/io/moorstage/core/transparent/AgentFlow.java
+++ b/core/src/main/java/io/moorstage/core/transparent/AgentFlow.java
@@ -1,5 +1,6 @@
 package io.moorstage.core.transparent;
 
+import java.util.List;
 import javax.annotation.Nullable;
 
 /** What an agent remembers of one flow. Guarded by the lock of {@link FlowAgent}. */
@@ -30,6 +31,24 @@
   /** Whether a request is in progress, as far as the direction of data tells. */
   boolean busy;
 
+  long busySinceMs;
+
+  /** The sequence number behind the client's data, as far as it has been seen. */
+  int clientSequence;
+
+  boolean clientSequenceKnown;
+
+  /** Whether the target has sent data since the agent knows the flow. */
+  boolean answered;
+
+  /** Which copy of the opening segment opened the flow; above 0 the first ones were lost. */
+  int openCopy;
+
+  /** Segments of a request that waits for the target, or null if none waits. */
+  @Nullable List<byte[]> waiting;
+
+  long waitingSinceMs;
+
   /** Whether either end has closed or broken off the flow. */
   boolean closed;
 
--- a/core/src/main/java/io/moorstage/core/transparent/FlowAgent.java
+++ b/core/src/main/java/io/moorstage/core/transparent/FlowAgent.java
@@ -2,9 +2,11 @@
 
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Iterator;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -12,6 +14,9 @@
  * each call holds the agent's lock.
  */
 public final class FlowAgent {
+  private static final int MAX_WAITING_SEGMENTS = 16;
+  private static final int JUST_OPENED_MS = 150;
+
   private final ForwardingPolicy policy;
   private final String service;
   private final AgentActions actions;
@@ -22,7 +27,8 @@
   private long seenConfigurationVersion;
   private TargetPhase phase = TargetPhase.READY;
   private long phaseRevision;
-  private int busyFlows;
+  private final RequestGate gate;
+  private int waitingFlows;
 
   /**
    * Creates an agent that knows no flow.
@@ -44,6 +50,7 @@
     this.actions = actions;
     this.log = log;
     this.startedAtMs = nowMs;
+    this.gate = new RequestGate(policy.requestWaitMs(), 0);
   }
 
   /**
@@ -63,6 +70,11 @@
     return changed;
   }
 
+  /** Takes the number of requests that the target works on at a time; 0 if it is not known. */
+  public synchronized void onCapacity(int capacity) {
+    gate.setCapacity(capacity);
+  }
+
   /** Returns how far the target is in its life, as far as the agent knows. */
   public synchronized TargetPhase phase() {
     return phase;
@@ -70,7 +82,7 @@
 
   /** Returns how many flows have a request in progress. */
   public synchronized int busyFlows() {
-    return busyFlows;
+    return gate.inProgress() + waitingFlows;
   }
 
   /** Returns the number of flows that the agent remembers. */
@@ -110,13 +122,95 @@
     }
     flow.balancerAddress = balancerAddress;
     flow.lastUsedMs = nowMs;
-    if (segment.dataBytes() > 0) {
-      setBusy(flow, true);
+    if (mustWait(flow, segment, datagram, nowMs)) {
+      return;
+    }
+    if (segment.dataBytes() > 0 && noteClientData(flow, segment)) {
+      setBusy(flow, true, nowMs);
     }
-    noteEnd(flow, segment);
+    noteEnd(flow, segment, nowMs);
     actions.deliver(datagram);
   }
 
+  /** Notes how far the client's data has come; returns whether the segment brings any that is new. */
+  private static boolean noteClientData(AgentFlow flow, Segment segment) {
+    int end = segment.sequence() + segment.dataBytes();
+    boolean isNew = !flow.clientSequenceKnown || end - flow.clientSequence > 0;
+    if (isNew) {
+      flow.clientSequence = end;
+      flow.clientSequenceKnown = true;
+    }
+    return isNew;
+  }
+
+  private boolean mustWait(AgentFlow flow, Segment segment, ByteBuffer datagram, long nowMs) {
+    if (flow.waiting != null) {
+      return keepWaiting(flow, segment, datagram, nowMs);
+    }
+    boolean begins = segment.dataBytes() > 0 && !flow.busy;
+    if (!begins || gate.isOpen()) {
+      return false;
+    }
+    if (!noteClientData(flow, segment)) {
+      return false;
+    }
+    flow.waiting = new ArrayList<>(1);
+    flow.waiting.add(copyOf(datagram));
+    waitingFlows++;
+    gate.add(flow, isKnownToBeNew(flow, nowMs), nowMs);
+    return true;
+  }
+
+  private boolean keepWaiting(AgentFlow flow, Segment segment, ByteBuffer datagram, long nowMs) {
+    if (segment.kind() == Segment.Kind.RESET) {
+      stopWaiting(flow);
+      return false;
+    }
+    if (segment.dataBytes() == 0 && segment.kind() == Segment.Kind.DATA) {
+      return false;
+    }
+    boolean isNew = segment.kind() == Segment.Kind.CLOSE || noteClientData(flow, segment);
+    if (isNew && flow.waiting.size() < MAX_WAITING_SEGMENTS) {
+      flow.waiting.add(copyOf(datagram));
+    }
+    return true;
+  }
+
+  private void stopWaiting(AgentFlow flow) {
+    if (flow.waiting != null) {
+      flow.waiting = null;
+      waitingFlows--;
+    }
+  }
+
+  // A request is new if the agent has seen its flow open just now at the first attempt, or has seen
+  // the answer before it; any other may be a repetition.
+  private boolean isKnownToBeNew(AgentFlow flow, long nowMs) {
+    boolean justOpened =
+        flow.stage == AgentFlow.Stage.ACCEPTED
+            && flow.openCopy == 0
+            && nowMs - flow.openedAtMs < JUST_OPENED_MS;
+    return justOpened || flow.answered;
+  }
+
+  private void releaseWaiting(long nowMs) {
+    for (AgentFlow flow = gate.next(nowMs); flow != null; flow = gate.next(nowMs)) {
+      release(flow, nowMs);
+    }
+  }
+
+  private void release(AgentFlow flow, long nowMs) {
+    List<byte[]> segments = flow.waiting;
+    stopWaiting(flow);
+    if (segments == null) {
+      return;
+    }
+    setBusy(flow, true, nowMs);
+    for (byte[] segment : segments) {
+      actions.deliver(ByteBuffer.wrap(segment));
+    }
+  }
+
   private boolean knowsAllFlows(long nowMs) {
     return nowMs - startedAtMs > policy.flowMemoryMs();
   }
@@ -147,9 +241,10 @@
             && (flow.stage == AgentFlow.Stage.ACCEPTED || flow.stage == AgentFlow.Stage.OPEN);
     if (!known) {
       if (flow != null) {
-        forget(flow);
+        forget(flow, nowMs);
       }
       flow = new AgentFlow(segment.flow(), AgentFlow.Stage.OPENING, balancerAddress, nowMs);
+      flow.openCopy = segment.copy();
       flow.openSegment = copyOf(datagram);
       flows.put(flow.id, flow);
       opening.add(flow);
@@ -172,22 +267,32 @@
     actions.giveBack(balancerAddress, reason, seenConfigurationVersion, datagram);
   }
 
-  private void setBusy(AgentFlow flow, boolean busy) {
-    if (flow.busy != busy) {
-      flow.busy = busy;
-      busyFlows += busy ? 1 : -1;
+  private void setBusy(AgentFlow flow, boolean busy, long nowMs) {
+    if (flow.busy == busy) {
+      return;
+    }
+    flow.busy = busy;
+    if (busy) {
+      flow.busySinceMs = nowMs;
+      gate.began(flow);
+    } else {
+      gate.ended();
+      releaseWaiting(nowMs);
     }
   }
 
-  private void noteEnd(AgentFlow flow, Segment segment) {
+  private void noteEnd(AgentFlow flow, Segment segment, long nowMs) {
     if (segment.kind() == Segment.Kind.CLOSE || segment.kind() == Segment.Kind.RESET) {
       flow.closed = true;
-      setBusy(flow, false);
+      if (segment.kind() == Segment.Kind.RESET) {
+        setBusy(flow, false, nowMs);
+      }
     }
   }
 
-  private void forget(AgentFlow flow) {
-    setBusy(flow, false);
+  private void forget(AgentFlow flow, long nowMs) {
+    stopWaiting(flow);
+    setBusy(flow, false, nowMs);
     flow.openSegment = null;
     flows.remove(flow.id);
   }
@@ -200,7 +305,7 @@
   public synchronized void onTargetSegment(Segment segment, ByteBuffer datagram, long nowMs) {
     AgentFlow flow = flows.get(segment.flow());
     if (segment.returned()) {
-      returned(flow, segment, datagram);
+      returned(flow, segment, datagram, nowMs);
       return;
     }
     if (flow == null) {
@@ -218,35 +323,40 @@
     } else if (flow.stage == AgentFlow.Stage.OPENING) {
       flow.stage = AgentFlow.Stage.ACCEPTED;
     }
+    actions.sendToClient(segment.flow(), datagram);
     if (segment.dataBytes() > 0) {
-      setBusy(flow, false);
+      flow.answered = true;
+      setBusy(flow, false, nowMs);
     }
-    noteEnd(flow, segment);
-    actions.sendToClient(segment.flow(), datagram);
+    noteEnd(flow, segment, nowMs);
   }
 
-  private void returned(AgentFlow flow, Segment segment, ByteBuffer datagram) {
+  private void returned(AgentFlow flow, Segment segment, ByteBuffer datagram, long nowMs) {
     if (flow == null) {
       log.decided(Decision.RETURNED, segment.flow(), 0, "flow-unknown", -1);
       return;
     }
     if (segment.kind() == Segment.Kind.OPEN) {
       int balancerAddress = flow.balancerAddress;
-      forget(flow);
+      forget(flow, nowMs);
       giveBack(balancerAddress, ReturnReason.FULL, segment, datagram);
       return;
     }
     if (flow.stage == AgentFlow.Stage.OPEN || flow.stage == AgentFlow.Stage.LOST) {
       // The target held the flow and no longer does: nothing can serve it any more.
       flow.stage = AgentFlow.Stage.LOST;
-      setBusy(flow, false);
+      stopWaiting(flow);
+      setBusy(flow, false, nowMs);
       log.decided(Decision.RESET_LOST, flow.id, flow.balancerAddress, "returned", -1);
       actions.reset(flow.id, segment.acknowledged());
       return;
     }
     int balancerAddress = flow.balancerAddress;
     if (flow.stage == AgentFlow.Stage.OFFERED) {
-      forget(flow);
+      forget(flow, nowMs);
+    } else {
+      stopWaiting(flow);
+      setBusy(flow, false, nowMs);
     }
     giveBack(balancerAddress, ReturnReason.NOT_HELD, segment, datagram);
   }
@@ -264,8 +374,21 @@
     return withdrawn ? FlowKnowledge.NOT_HELD : FlowKnowledge.HELD;
   }
 
-  /** Gives back opening segments that the target leaves unanswered. */
+  /** Handles what is due; called every few tens of milliseconds. */
   public synchronized void onTick(long nowMs) {
+    giveBackUnanswered(nowMs);
+    int forgetMs = policy.requestForgetMs();
+    for (AgentFlow flow = gate.stale(forgetMs, nowMs);
+        flow != null;
+        flow = gate.stale(forgetMs, nowMs)) {
+      setBusy(flow, false, nowMs);
+    }
+    for (AgentFlow flow = gate.overdue(nowMs); flow != null; flow = gate.overdue(nowMs)) {
+      release(flow, nowMs);
+    }
+  }
+
+  private void giveBackUnanswered(long nowMs) {
     while (!opening.isEmpty()) {
       AgentFlow flow = opening.peek();
       if (nowMs - flow.openedAtMs < policy.silenceMs()) {
@@ -294,7 +417,8 @@
       AgentFlow flow = all.next();
       int memoryMs = flow.closed ? policy.closedLingerMs() : policy.flowMemoryMs();
       if (nowMs - flow.lastUsedMs > memoryMs) {
-        setBusy(flow, false);
+        stopWaiting(flow);
+        setBusy(flow, false, nowMs);
         all.remove();
       }
     }
--- a/core/src/main/java/io/moorstage/core/transparent/ForwardingPolicy.java
+++ b/core/src/main/java/io/moorstage/core/transparent/ForwardingPolicy.java
@@ -10,6 +10,8 @@
  * @param learnMs for how long a balancer that has started hears of agents before it takes their
  *     answers for complete
  * @param agentSilenceMs after how long without a beacon an agent's machine counts as away
+ * @param requestWaitMs how long an agent lets a request wait for a target that is at its limit
+ * @param requestForgetMs after how long without an answer a request no longer counts as in progress
  * @param silenceMs after how long without an answer to an opening segment a target counts as silent
  * @param suspicionMs for how long a silent target gets no new flow
  * @param closedLingerMs how long a closed flow is remembered
@@ -24,6 +26,8 @@
     int openWaitMs,
     int learnMs,
     int agentSilenceMs,
+    int requestWaitMs,
+    int requestForgetMs,
     int silenceMs,
     int suspicionMs,
     int closedLingerMs,
@@ -33,5 +37,5 @@
   /** Values for a deployment whose flows live up to a minute. */
   public static final ForwardingPolicy STANDARD =
       new ForwardingPolicy(
-          40, 20, 4, 400, 1_200, 1_800, 80, 1_000, 5_000, 65_000, 70_000);
+          40, 20, 4, 400, 1_200, 1_800, 600, 900, 80, 1_000, 5_000, 65_000, 70_000);
 }
--- /dev/null
+++ b/core/src/main/java/io/moorstage/core/transparent/RequestGate.java
@@ -0,0 +1,131 @@
+package io.moorstage.core.transparent;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import javax.annotation.Nullable;
+
+/**
+ * Decides in which order requests reach a target that is at its limit.
+ *
+ * <p>A target queues in order of arrival, so after an outage the requests that were repeated
+ * meanwhile, and are late already, would make all later ones late as well. The gate keeps no more
+ * requests in progress than the target works on, plus a few, and lets the others wait: requests
+ * known to be new go before those that may be old, and once the queue stands, the newest goes first
+ * (adaptive LIFO, as in Maurer, "Fail at Scale", ACM Queue 2015). No request waits longer than a
+ * bound; then the target itself decides.
+ */
+final class RequestGate {
+  private static final int SPARE_REQUESTS = 2;
+  private static final int STANDING_QUEUE_MS = 40;
+
+  private final int maxWaitMs;
+  private final Deque<AgentFlow> newRequests = new ArrayDeque<>();
+  private final Deque<AgentFlow> oldRequests = new ArrayDeque<>();
+  private final Deque<AgentFlow> begun = new ArrayDeque<>();
+  private int capacity;
+  private int inProgress;
+
+  /**
+   * Creates an open gate.
+   *
+   * @param maxWaitMs the longest that a request waits, in milliseconds
+   * @param capacity the requests that the target works on at a time; 0 if not known, which lets all
+   *     pass
+   */
+  RequestGate(int maxWaitMs, int capacity) {
+    this.maxWaitMs = maxWaitMs;
+    this.capacity = capacity;
+  }
+
+  void setCapacity(int newCapacity) {
+    capacity = newCapacity;
+  }
+
+  int inProgress() {
+    return inProgress;
+  }
+
+  void began(AgentFlow flow) {
+    inProgress++;
+    begun.addLast(flow);
+  }
+
+  /**
+   * Returns a flow whose request has been in progress for too long to still count, or null if there
+   * is none: its answer was lost, or it was a repetition of a request that had its answer.
+   */
+  @Nullable
+  AgentFlow stale(int forgetMs, long nowMs) {
+    for (AgentFlow flow = begun.peekFirst(); flow != null; flow = begun.peekFirst()) {
+      if (flow.busy && nowMs - flow.busySinceMs < forgetMs) {
+        return null;
+      }
+      begun.pollFirst();
+      if (flow.busy) {
+        return flow;
+      }
+    }
+    return null;
+  }
+
+  void ended() {
+    inProgress--;
+  }
+
+  boolean isOpen() {
+    return capacity == 0 || inProgress < capacity + SPARE_REQUESTS;
+  }
+
+  /** Lets a flow's request wait. */
+  void add(AgentFlow flow, boolean isNew, long nowMs) {
+    flow.waitingSinceMs = nowMs;
+    (isNew ? newRequests : oldRequests).addLast(flow);
+  }
+
+  /** Returns the flow whose request goes next, or null if none waits or the gate is closed. */
+  @Nullable
+  AgentFlow next(long nowMs) {
+    if (!isOpen()) {
+      return null;
+    }
+    AgentFlow flow = take(newRequests, nowMs);
+    return flow != null ? flow : take(oldRequests, nowMs);
+  }
+
+  @Nullable
+  private static AgentFlow take(Deque<AgentFlow> queue, long nowMs) {
+    dropEnded(queue);
+    AgentFlow oldest = queue.peekFirst();
+    if (oldest == null) {
+      return null;
+    }
+    boolean standing = nowMs - oldest.waitingSinceMs > STANDING_QUEUE_MS;
+    AgentFlow flow = standing ? queue.pollLast() : queue.pollFirst();
+    while (flow != null && flow.waiting == null) {
+      flow = queue.pollLast();
+    }
+    return flow;
+  }
+
+  // Flows that ended while they waited stay in the queue until they come up.
+  private static void dropEnded(Deque<AgentFlow> queue) {
+    while (!queue.isEmpty() && queue.peekFirst().waiting == null) {
+      queue.pollFirst();
+    }
+  }
+
+  /** Returns a flow whose request has waited for as long as it may, or null if there is none. */
+  @Nullable
+  AgentFlow overdue(long nowMs) {
+    AgentFlow flow = overdueOf(newRequests, nowMs);
+    return flow != null ? flow : overdueOf(oldRequests, nowMs);
+  }
+
+  @Nullable
+  private AgentFlow overdueOf(Deque<AgentFlow> queue, long nowMs) {
+    dropEnded(queue);
+    AgentFlow oldest = queue.peekFirst();
+    boolean due = oldest != null && nowMs - oldest.waitingSinceMs >= maxWaitMs;
+    return due ? queue.pollFirst() : null;
+  }
+}
--- a/core/src/main/java/io/moorstage/core/transparent/TargetSlot.java
+++ b/core/src/main/java/io/moorstage/core/transparent/TargetSlot.java
@@ -17,6 +17,7 @@
   private volatile int silences;
   private volatile long coldUntilMs;
   private volatile int reportedBusy;
+  private final AtomicInteger placedSinceReport = new AtomicInteger();
   private volatile long reportedAtMs = NEVER;
   private volatile long heardAtMs = NEVER;
 
@@ -55,6 +56,7 @@
 
   void addFlow() {
     activeFlows.incrementAndGet();
+    placedSinceReport.incrementAndGet();
   }
 
   void removeFlow() {
@@ -72,6 +74,7 @@
 
   void reportBusy(int busyFlows, long nowMs) {
     reportedBusy = busyFlows;
+    placedSinceReport.set(0);
     reportedAtMs = nowMs;
   }
 
@@ -106,11 +109,13 @@
   }
 
   /**
-   * Returns the requests in progress at the target, as far as known: those that its agent reported,
-   * or this balancer's own flows if the report is old.
+   * Returns the requests in progress at the target for each of its slots, as far as known: those
+   * that its agent reported and those that this balancer has placed since, or this balancer's own
+   * flows if the report is old.
    */
   double load(int reportValidMs, long nowMs) {
-    int busy = nowMs - reportedAtMs <= reportValidMs ? reportedBusy : activeFlows.get();
+    boolean reported = nowMs - reportedAtMs <= reportValidMs;
+    int busy = reported ? reportedBusy + placedSinceReport.get() : activeFlows.get();
     return (busy + 1.0) / record.capacity();
   }
 }
--- a/forwarding/src/main/java/io/moorstage/forwarding/AgentDaemon.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/AgentDaemon.java
@@ -18,6 +18,7 @@
 public final class AgentDaemon implements ForwardingDaemon {
   private static final int TICK_MS = 20;
   private static final int BEACON_MS = 500;
+  private static final int LOAD_REPORT_MS = 100;
   private static final int SWEEP_MS = 1_000;
   private static final int COPY_INTERVAL_MS = 1_000;
   private static final int OTHER_ZONE_AFTER_MS = 3_000;
@@ -85,12 +86,18 @@
   public void run() throws InterruptedException {
     long nextBeaconMs = 0;
     long nextSweepMs = 0;
+    long nextReportMs = 0;
+    int reportedBusy = 0;
     while (!stopping) {
       Thread.sleep(TICK_MS);
       long nowMs = MonotonicClock.nowMs();
       agent.onTick(nowMs);
-      if (nowMs >= nextBeaconMs) {
+      int busy = agent.busyFlows();
+      boolean loadChanged = busy != reportedBusy && nowMs >= nextReportMs;
+      if (nowMs >= nextBeaconMs || loadChanged) {
         nextBeaconMs = nowMs + BEACON_MS;
+        nextReportMs = nowMs + LOAD_REPORT_MS;
+        reportedBusy = busy;
         sendBeacons(nowMs);
       }
       if (nowMs >= nextSweepMs) {
@@ -206,6 +213,9 @@
           "told-by",
           Endpoint.of(balancer, 0).host());
     }
+    if (beacon.capacity() > 0) {
+      agent.onCapacity(beacon.capacity());
+    }
     if (appeared) {
       log.event("balancer-heard", "peer", Endpoint.of(balancer, 0).host());
       sendBeacons(nowMs);
--- a/forwarding/src/main/java/io/moorstage/forwarding/BalancerDaemon.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/BalancerDaemon.java
@@ -17,6 +17,7 @@
 import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
+import javax.annotation.Nullable;
 
 /** Takes clients' segments and forwards each to the agent beside the flow's target. */
 public final class BalancerDaemon implements ForwardingDaemon {
@@ -234,8 +235,8 @@
   private synchronized void sendBeacons(long nowMs) {
     FleetState state = keeper.state();
     int[] live = balancers.live(nowMs);
-    Map<Integer, TargetPhase> agents = phasesByAddress(state);
-    for (Map.Entry<Integer, TargetPhase> agent : agents.entrySet()) {
+    Map<Integer, TargetRecord> agents = targetsByAddress(state);
+    for (Map.Entry<Integer, TargetRecord> agent : agents.entrySet()) {
       sendBeacon(agent.getKey(), state.revision(), agent.getValue(), live);
     }
     for (int peer : balancers.known(nowMs)) {
@@ -245,23 +246,27 @@
     }
   }
 
-  private void sendBeacon(int address, long revision, TargetPhase phase, int[] live) {
+  private void sendBeacon(
+      int address, long revision, @Nullable TargetRecord target, int[] live) {
+    TargetPhase phase = target == null ? null : target.phase();
+    int capacity = target == null ? 0 : target.capacity();
     beaconOut.clear();
     PeerMessageCodec.encode(
-        new PeerMessage.BalancerBeacon(revision, settings.zone(), phase, live), beaconOut);
+        new PeerMessage.BalancerBeacon(revision, settings.zone(), phase, capacity, live),
+        beaconOut);
     peerPort.send(beaconOut.flip(), peers.get(address));
   }
 
   /** Returns what each agent's machine holds; a machine may serve a newer target than one gone. */
-  private static Map<Integer, TargetPhase> phasesByAddress(FleetState state) {
-    Map<Integer, TargetPhase> phases = new HashMap<>();
+  private static Map<Integer, TargetRecord> targetsByAddress(FleetState state) {
+    Map<Integer, TargetRecord> targets = new HashMap<>();
     for (TargetRecord target : state.targets()) {
-      TargetPhase known = phases.get(target.address());
-      if (known == null || target.phase().compareTo(known) < 0) {
-        phases.put(target.address(), target.phase());
+      TargetRecord known = targets.get(target.address());
+      if (known == null || target.phase().compareTo(known.phase()) < 0) {
+        targets.put(target.address(), target);
       }
     }
-    return phases;
+    return targets;
   }
 
   // ---- datagrams ----
--- a/forwarding/src/main/java/io/moorstage/forwarding/PeerMessage.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/PeerMessage.java
@@ -52,9 +52,11 @@
    * @param revision the source's revision that the balancer has
    * @param zone the balancer's zone
    * @param phase how far the receiving agent's target is in its life, or null if not known
+   * @param capacity the requests that this target works on at a time, 0 if not known
    * @param balancers addresses of balancers that it has heard from
    */
-  record BalancerBeacon(long revision, String zone, @Nullable TargetPhase phase, int[] balancers)
+  record BalancerBeacon(
+      long revision, String zone, @Nullable TargetPhase phase, int capacity, int[] balancers)
       implements PeerMessage {}
 
   /**
