Let threads of a balancer no longer wait for each other, and end searches that circle

A target that has returned a segment of a flow is no longer asked or believed for it, and guesses are not told to others. - an offered segment could wait at the agent's gate, so the offer seemed to be kept.

--- a/core/src/main/java/io/moorstage/core/transparent/BalancerFlow.java
+++ b/core/src/main/java/io/moorstage/core/transparent/BalancerFlow.java
@@ -16,6 +16,12 @@
   /** Targets that got the opening segment and gave it back or left it unanswered. */
   final List<TargetSlot> tried = new ArrayList<>(0);
 
+  /** Addresses of targets that have returned a later segment: they do not hold the flow. */
+  final List<Integer> denied = new ArrayList<>(0);
+
+  /** Whether an agent has told that its target holds the flow, or the flow was opened from here. */
+  boolean confirmed;
+
   /** Opening segments that were sent to targets and that no agent has given back. */
   int unreturnedOpens;
 
--- a/core/src/main/java/io/moorstage/core/transparent/FlowAgent.java
+++ b/core/src/main/java/io/moorstage/core/transparent/FlowAgent.java
@@ -148,7 +148,9 @@
       return keepWaiting(flow, segment, datagram, nowMs);
     }
     boolean begins = segment.dataBytes() > 0 && !flow.busy;
-    if (!begins || gate.isOpen()) {
+    // Whether the target holds an offered flow shows only once it gets the segment.
+    boolean offered = flow.stage == AgentFlow.Stage.OFFERED;
+    if (!begins || offered || gate.isOpen()) {
       return false;
     }
     if (!noteClientData(flow, segment)) {
@@ -355,6 +357,8 @@
     if (flow.stage == AgentFlow.Stage.OFFERED) {
       forget(flow, nowMs);
     } else {
+      // The client went on at another target that had accepted a copy of the opening segment.
+      flow.stage = AgentFlow.Stage.WITHDRAWN;
       stopWaiting(flow);
       setBusy(flow, false, nowMs);
     }
--- a/core/src/main/java/io/moorstage/core/transparent/FlowBalancer.java
+++ b/core/src/main/java/io/moorstage/core/transparent/FlowBalancer.java
@@ -168,6 +168,7 @@
     }
     if (!flow.answered) {
       flow.answered = true;
+      flow.confirmed = true;
       flow.target.trust();
     }
     send(flow, flow.target, datagram);
@@ -383,6 +384,9 @@
       locate(segment, datagram, nowMs);
       return;
     }
+    if (!flow.denied.contains(agentAddress)) {
+      flow.denied.add(agentAddress);
+    }
     Location location = flow.location;
     if (location != null) {
       if (location.offeredTo != null && location.offeredTo.address() == agentAddress) {
@@ -434,15 +438,16 @@
       BalancerFlow flow, Segment segment, ByteBuffer datagram, long nowMs) {
     TargetSlot excluded = flow.target;
     flow.moveTo(null);
+    flow.confirmed = false;
     List<TargetSlot> asked = new ArrayList<>();
     for (TargetPool pool : poolsOf(flow)) {
       for (TargetSlot slot : pool.byRank(flow.id)) {
-        if (slot != excluded && asked.size() < MAX_ASKED_AGENTS) {
+        if (!flow.denied.contains(slot.address()) && asked.size() < MAX_ASKED_AGENTS) {
           addIfMayHold(asked, slot, nowMs);
         }
       }
     }
-    addUnlisted(flow, asked, excluded, nowMs);
+    addUnlisted(flow, asked, nowMs);
     Location location = new Location(asked, nowMs + policy.locateTimeoutMs());
     location.acknowledged = segment.acknowledged();
     location.hold(datagram, policy.maxHeldSegments());
@@ -459,6 +464,9 @@
       actions.ask(slot.address(), flow.id);
     }
     actions.askBalancers(flow.id);
+    if (asked.isEmpty()) {
+      location.deadlineMs = nowMs;
+    }
   }
 
   private void addIfMayHold(List<TargetSlot> asked, TargetSlot slot, long nowMs) {
@@ -475,16 +483,15 @@
   }
 
   // A target may serve on though the source never listed it since this balancer has started.
-  private void addUnlisted(
-      BalancerFlow flow, List<TargetSlot> asked, @Nullable TargetSlot excluded, long nowMs) {
+  private void addUnlisted(BalancerFlow flow, List<TargetSlot> asked, long nowMs) {
     ForwardingRoute route = state.configuration().routeOf(flow.id);
     for (HeardAgent agent : heardAgents.values()) {
-      boolean excludedToo = excluded != null && excluded.address() == agent.slot().address();
+      boolean denied = flow.denied.contains(agent.slot().address());
       boolean serves =
           route == null
               ? agent.service().equals(flow.service)
               : route.sharesFlowsWith(agent.service());
-      if (serves && !excludedToo && isAgentHeard(agent.slot().address(), nowMs)) {
+      if (serves && !denied && isAgentHeard(agent.slot().address(), nowMs)) {
         addIfMayHold(asked, agent.slot(), nowMs);
       }
     }
@@ -521,8 +528,11 @@
     switch (knowledge) {
       case HELD:
       case KNOWN_ELSEWHERE:
-        TargetSlot holder = slotAt(flow, targetAddress);
+        // Another balancer may believe what this one has just found to be wrong.
+        TargetSlot holder =
+            flow.denied.contains(targetAddress) ? null : slotAt(flow, targetAddress);
         if (holder != null) {
+          flow.confirmed = knowledge == FlowKnowledge.HELD;
           found(flow, holder, "told-by-peer", nowMs);
         }
         break;
@@ -627,7 +637,7 @@
   /** Answers another balancer: the address of the target that holds a flow, 0 if unknown. */
   public synchronized int knownTarget(FlowId id) {
     BalancerFlow flow = flows.get(id);
-    boolean known = flow != null && flow.target != null && flow.answered && flow.location == null;
+    boolean known = flow != null && flow.target != null && flow.confirmed && flow.location == null;
     return known ? flow.target.address() : 0;
   }
 
--- a/forwarding/src/main/java/io/moorstage/forwarding/StateKeeper.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/StateKeeper.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.UnaryOperator;
+import javax.annotation.Nullable;
 
 /**
  * Holds the newest state that this process knows, whoever told it, and passes each newer one on.
@@ -18,8 +19,11 @@
   private final int goneMemoryMs;
   private final Listener listener;
   private final Map<String, Long> goneSinceMs = new HashMap<>();
-  private FleetState state = FleetState.EMPTY;
-  private byte[] encoded;
+  private volatile FleetState state = FleetState.EMPTY;
+  private volatile Encoded encoded;
+
+  /** A state in the form that peers read. */
+  private record Encoded(FleetState state, byte[] bytes) {}
 
   /** Takes each newer state. */
   interface Listener {
@@ -32,7 +36,8 @@
     this.listener = listener;
   }
 
-  synchronized FleetState state() {
+  /** Returns the newest state; takes no lock, so a listener's thread can't be waited for. */
+  FleetState state() {
     return state;
   }
 
@@ -51,7 +56,6 @@
   private synchronized void change(UnaryOperator<FleetState> step, long nowMs) {
     FleetState before = state;
     state = forgetGone(step.apply(before), nowMs);
-    encoded = null;
     listener.onState(before, state, nowMs);
   }
 
@@ -71,13 +75,17 @@
   }
 
   /** Returns the encoded state, or null if nothing is known. */
-  synchronized byte[] encoded() {
-    if (state.revision() == 0) {
+  @Nullable
+  byte[] encoded() {
+    FleetState current = state;
+    if (current.revision() == 0) {
       return null;
     }
-    if (encoded == null) {
-      encoded = FleetStateCodec.encode(state);
+    Encoded known = encoded;
+    if (known == null || known.state() != current) {
+      known = new Encoded(current, FleetStateCodec.encode(current));
+      encoded = known;
     }
-    return encoded;
+    return known.bytes();
   }
 }
