--- a/core/src/main/java/io/moorstage/core/transparent/BalancerFlow.java
+++ b/core/src/main/java/io/moorstage/core/transparent/BalancerFlow.java
@@ -66,9 +66,13 @@
   /** The search for a flow whose place is unknown. */
   static final class Location {
     final List<byte[]> held = new ArrayList<>(2);
-    final List<TargetSlot> unanswered;
+    final List<TargetSlot> unanswered = new ArrayList<>();
+    /** Addresses of agents that may know the flow and are not heard from. */
+    final List<Integer> absent = new ArrayList<>(0);
+
     final List<TargetSlot> candidates = new ArrayList<>(0);
-    int acknowledged;
+    final int acknowledged;
+    final long startedAtMs;
 
     /** Whether every target that may hold the flow has been heard. */
     boolean conclusive = true;
@@ -76,9 +80,9 @@
     long deadlineMs;
     @Nullable TargetSlot offeredTo;
 
-    Location(List<TargetSlot> asked, long deadlineMs) {
-      this.unanswered = new ArrayList<>(asked);
-      this.deadlineMs = deadlineMs;
+    Location(int acknowledged, long nowMs) {
+      this.acknowledged = acknowledged;
+      this.startedAtMs = nowMs;
     }
 
     void hold(ByteBuffer datagram, int limit) {
--- a/core/src/main/java/io/moorstage/core/transparent/FlowAgent.java
+++ b/core/src/main/java/io/moorstage/core/transparent/FlowAgent.java
@@ -148,9 +148,7 @@
       return keepWaiting(flow, segment, datagram, nowMs);
     }
     boolean begins = segment.dataBytes() > 0 && !flow.busy;
-    // Whether the target holds an offered flow shows only once it gets the segment.
-    boolean offered = flow.stage == AgentFlow.Stage.OFFERED;
-    if (!begins || offered || gate.isOpen()) {
+    if (!begins || gate.isOpen()) {
       return false;
     }
     if (!noteClientData(flow, segment)) {
--- a/core/src/main/java/io/moorstage/core/transparent/FlowBalancer.java
+++ b/core/src/main/java/io/moorstage/core/transparent/FlowBalancer.java
@@ -117,7 +117,11 @@
     HeardAgent known = heardAgents.get(agentAddress);
     boolean same = known != null && known.service().equals(service);
     TargetSlot heardSlot = same ? known.slot() : unlistedSlot(agentAddress, service, nowMs);
+    boolean appeared = !isAgentHeard(agentAddress, nowMs);
     heardAgents.put(agentAddress, new HeardAgent(service, heardSlot, stopping ? 0 : nowMs));
+    if (appeared && !stopping) {
+      askAgentForLocatingFlows(heardSlot, service, nowMs);
+    }
     for (TargetSlot slot : pools.slots()) {
       if (slot.address() == agentAddress && slot.record().phase() != TargetPhase.GONE) {
         slot.reportBusy(busyFlows, nowMs);
@@ -135,6 +139,16 @@
         new TargetRecord(id, service, agentAddress, "", 1, TargetPhase.GONE, 0, 0), nowMs);
   }
 
+  /** Returns whether agents have been heard from before, and none of them within some time. */
+  public synchronized boolean hasLostAllAgents(int periodMs, long nowMs) {
+    for (HeardAgent agent : heardAgents.values()) {
+      if (nowMs - agent.heardAtMs() <= periodMs) {
+        return false;
+      }
+    }
+    return !heardAgents.isEmpty();
+  }
+
   private boolean isAgentHeard(int agentAddress, long nowMs) {
     HeardAgent agent = heardAgents.get(agentAddress);
     return agent != null && nowMs - agent.heardAtMs() <= policy.agentSilenceMs();
@@ -439,33 +453,57 @@
     TargetSlot excluded = flow.target;
     flow.moveTo(null);
     flow.confirmed = false;
-    List<TargetSlot> asked = new ArrayList<>();
+    Location location = new Location(segment.acknowledged(), nowMs);
+    location.hold(datagram, policy.maxHeldSegments());
+    flow.location = location;
+    locating.add(flow);
+    String reason = excluded == null ? "unknown" : "not-held";
+    int address = excluded == null ? 0 : excluded.address();
+    log.decided(Decision.ASKED, flow.id, address, reason, ageOfState(nowMs));
+    ask(flow, nowMs);
+  }
+
+  /** Asks every agent whose target may hold a flow, and the other balancers. */
+  private void ask(BalancerFlow flow, long nowMs) {
+    List<TargetSlot> mayHold = new ArrayList<>();
     for (TargetPool pool : poolsOf(flow)) {
       for (TargetSlot slot : pool.byRank(flow.id)) {
-        if (!flow.denied.contains(slot.address()) && asked.size() < MAX_ASKED_AGENTS) {
-          addIfMayHold(asked, slot, nowMs);
+        if (!flow.denied.contains(slot.address()) && mayHold.size() < MAX_ASKED_AGENTS) {
+          addIfMayHold(mayHold, slot, nowMs);
         }
       }
     }
-    addUnlisted(flow, asked, nowMs);
-    Location location = new Location(asked, nowMs + policy.locateTimeoutMs());
-    location.acknowledged = segment.acknowledged();
-    location.hold(datagram, policy.maxHeldSegments());
-    flow.location = location;
-    locating.add(flow);
-    String reason = excluded == null ? "unknown" : "not-held";
-    log.decided(
-        Decision.ASKED,
-        flow.id,
-        excluded == null ? 0 : excluded.address(),
-        reason,
-        ageOfState(nowMs));
-    for (TargetSlot slot : asked) {
-      actions.ask(slot.address(), flow.id);
+    addUnlisted(flow, mayHold, nowMs);
+    Location location = flow.location;
+    location.deadlineMs = nowMs + policy.locateTimeoutMs();
+    for (TargetSlot slot : mayHold) {
+      if (isAgentHeard(slot.address(), nowMs)) {
+        location.unanswered.add(slot);
+        actions.ask(slot.address(), flow.id);
+      } else {
+        // It is asked as soon as it is heard from.
+        location.absent.add(slot.address());
+      }
     }
     actions.askBalancers(flow.id);
-    if (asked.isEmpty()) {
-      location.deadlineMs = nowMs;
+  }
+
+  // An agent has started or is back: it may know the flows that are being looked for.
+  private void askAgentForLocatingFlows(TargetSlot agent, String service, long nowMs) {
+    for (BalancerFlow flow : locating) {
+      Location location = flow.location;
+      ForwardingRoute route = state.configuration().routeOf(flow.id);
+      boolean serves = route != null && route.sharesFlowsWith(service);
+      if (location == null || !serves || flow.denied.contains(agent.address())) {
+        continue;
+      }
+      TargetSlot slot = slotAt(flow, agent.address());
+      location.absent.remove((Integer) agent.address());
+      location.unanswered.add(slot == null ? agent : slot);
+      if (location.offeredTo == null) {
+        location.deadlineMs = nowMs + policy.locateTimeoutMs();
+      }
+      actions.ask(agent.address(), flow.id);
     }
   }
 
@@ -608,9 +646,13 @@
   // holds for all, no target holds the flow, and a reset lets the client try again at once.
   private void notFound(BalancerFlow flow, Location location, long nowMs) {
     boolean learned = nowMs - startedAtMs > policy.learnMs();
-    if (location.conclusive && learned) {
+    if (location.conclusive && location.absent.isEmpty() && learned) {
       log.decided(Decision.RESET_LOST, flow.id, 0, "held-by-none", ageOfState(nowMs));
       actions.reset(flow.id, location.acknowledged);
+    } else if (nowMs - location.startedAtMs < policy.searchMs()) {
+      // An agent that starts meanwhile is asked when it is first heard from.
+      location.deadlineMs = nowMs + policy.searchPauseMs();
+      return;
     } else {
       log.decided(Decision.NOT_FOUND, flow.id, 0, "nobody-knows", ageOfState(nowMs));
     }
--- a/core/src/main/java/io/moorstage/core/transparent/ForwardingPolicy.java
+++ b/core/src/main/java/io/moorstage/core/transparent/ForwardingPolicy.java
@@ -4,6 +4,8 @@
  * The times and bounds that forwarding decides by.
  *
  * @param locateTimeoutMs how long a balancer waits for answers about an unknown flow
+ * @param searchMs how long a balancer goes on looking for a flow while agents do not answer
+ * @param searchPauseMs how long such a search rests when nobody is left to ask
  * @param offerTimeoutMs how long a balancer waits for a target to return a segment offered to it
  * @param maxHeldSegments segments of one unknown flow that are held while it is located
  * @param openWaitMs how long a new flow waits while its service has no target
@@ -21,6 +23,8 @@
  */
 public record ForwardingPolicy(
     int locateTimeoutMs,
+    int searchMs,
+    int searchPauseMs,
     int offerTimeoutMs,
     int maxHeldSegments,
     int openWaitMs,
@@ -37,5 +41,5 @@
   /** Values for a deployment whose flows live up to a minute. */
   public static final ForwardingPolicy STANDARD =
       new ForwardingPolicy(
-          40, 60, 4, 400, 1_200, 1_800, 600, 900, 80, 1_000, 5_000, 65_000, 70_000);
+          40, 1_400, 150, 30, 4, 400, 1_200, 1_800, 600, 900, 80, 1_000, 5_000, 65_000, 70_000);
 }
--- a/forwarding/src/main/java/io/moorstage/forwarding/BalancerDaemon.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/BalancerDaemon.java
@@ -24,6 +24,8 @@
   private static final int TICK_MS = 20;
   private static final int BEACON_MS = 500;
   private static final int SWEEP_MS = 1_000;
+  private static final int ISOLATED_AFTER_MS = 1_300;
+  private static final int MEMBERSHIP_MS = 20_000;
   private static final int CATCH_UP_DELAY_MS = 150;
   private static final int CONFIRMED_FOR_MS = 2_500;
   private static final int STOP_MIN_MS = 1_300;
@@ -50,6 +52,7 @@
   private volatile boolean stopping;
   private volatile long stopAtMs;
   private volatile long lastClientAtMs;
+  private volatile boolean isolated;
   private volatile long behindSinceMs;
   private volatile long behindRevision;
   private volatile int aheadPeer;
@@ -78,7 +81,7 @@
     clientPort.start("client-segments", this::onClientDatagram, log);
     peerPort.start("peer-messages", this::onPeerDatagram, log);
     follower.start();
-    HttpEndpoint.start(settings.readiness(), "/", () -> ready ? EMPTY_BODY : null);
+    HttpEndpoint.start(settings.readiness(), "/", () -> ready && !isolated ? EMPTY_BODY : null);
     reload(settings);
     sendBeacons(MonotonicClock.nowMs());
     fetcher.start();
@@ -111,10 +114,24 @@
         balancer.onSweep(nowMs);
       }
       catchUpIfBehind(nowMs);
+      checkIsolation(nowMs);
     }
     log.event("stopped", "flows", balancer.flowCount());
   }
 
+  // A balancer that hears no agent, and few other balancers, is cut off: its clients do better
+  // elsewhere. If the other balancers are there, it is the agents that are away.
+  private void checkIsolation(long nowMs) {
+    int live = balancers.heardWithin(ISOLATED_AFTER_MS, nowMs);
+    int known = balancers.heardWithin(MEMBERSHIP_MS, nowMs);
+    boolean agentsSilent = balancer.hasLostAllAgents(ISOLATED_AFTER_MS, nowMs);
+    boolean cutOff = agentsSilent && live * 2 < known;
+    if (cutOff != isolated) {
+      isolated = cutOff;
+      log.event(cutOff ? "isolated" : "reconnected", "balancers", live, "of", known);
+    }
+  }
+
   // A stopping balancer forwards until the network sends its segments elsewhere.
   private boolean hasStopped(long nowMs) {
     if (!stopping) {
--- a/forwarding/src/main/java/io/moorstage/forwarding/PeerDirectory.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/PeerDirectory.java
@@ -60,6 +60,17 @@
     return addresses;
   }
 
+  /** Returns how many balancers have been heard from within some time. */
+  synchronized int heardWithin(long periodMs, long nowMs) {
+    int count = 0;
+    for (long heardMs : heardAtMs.values()) {
+      if (nowMs - heardMs <= periodMs) {
+        count++;
+      }
+    }
+    return count;
+  }
+
   /** Returns the balancers that have been heard from of late. */
   synchronized int[] live(long nowMs) {
     int[] addresses = new int[heardAtMs.size()];
