--- a/core/src/main/java/io/moorstage/core/transparent/FlowAgent.java
+++ b/core/src/main/java/io/moorstage/core/transparent/FlowAgent.java
@@ -50,7 +50,7 @@
     this.actions = actions;
     this.log = log;
     this.startedAtMs = nowMs;
-    this.gate = new RequestGate(policy.requestWaitMs(), 0);
+    this.gate = new RequestGate(policy.requestTurnMs(), policy.requestWaitMs(), 0);
   }
 
   /**
--- a/core/src/main/java/io/moorstage/core/transparent/ForwardingPolicy.java
+++ b/core/src/main/java/io/moorstage/core/transparent/ForwardingPolicy.java
@@ -12,6 +12,8 @@
  * @param learnMs for how long a balancer that has started hears of agents before it takes their
  *     answers for complete
  * @param agentSilenceMs after how long without a beacon an agent's machine counts as away
+ * @param requestTurnMs how long a request waits for a target that is at its limit before it gets a
+ *     turn before newer ones
  * @param requestWaitMs how long an agent lets a request wait for a target that is at its limit
  * @param requestForgetMs after how long without an answer a request no longer counts as in progress
  * @param silenceMs after how long without an answer to an opening segment a target counts as silent
@@ -30,6 +32,7 @@
     int openWaitMs,
     int learnMs,
     int agentSilenceMs,
+    int requestTurnMs,
     int requestWaitMs,
     int requestForgetMs,
     int silenceMs,
@@ -41,5 +44,5 @@
   /** Values for a deployment whose flows live up to a minute. */
   public static final ForwardingPolicy STANDARD =
       new ForwardingPolicy(
-          40, 1_400, 150, 30, 4, 400, 1_200, 1_800, 600, 900, 80, 1_000, 5_000, 65_000, 70_000);
+          40, 1_400, 150, 30, 4, 400, 1_200, 1_800, 350, 900, 900, 80, 1_000, 5_000, 65_000, 70_000);
 }
--- a/core/src/main/java/io/moorstage/core/transparent/RequestGate.java
+++ b/core/src/main/java/io/moorstage/core/transparent/RequestGate.java
@@ -11,28 +11,33 @@
  * meanwhile, and are late already, would make all later ones late as well. The gate keeps no more
  * requests in progress than the target works on, plus a few, and lets the others wait: requests
  * known to be new go before those that may be old, and once the queue stands, the newest goes first
- * (adaptive LIFO, as in Maurer, "Fail at Scale", ACM Queue 2015). No request waits longer than a
- * bound; then the target itself decides.
+ * (adaptive LIFO, as in Maurer, "Fail at Scale", ACM Queue 2015). A request that has waited for long
+ * gets every other place that becomes free, so that new ones can't starve it nor it them; none
+ * waits longer than a bound, after which the target itself decides.
  */
 final class RequestGate {
   private static final int SPARE_REQUESTS = 2;
   private static final int STANDING_QUEUE_MS = 40;
 
+  private final int longWaitMs;
   private final int maxWaitMs;
   private final Deque<AgentFlow> newRequests = new ArrayDeque<>();
   private final Deque<AgentFlow> oldRequests = new ArrayDeque<>();
   private final Deque<AgentFlow> begun = new ArrayDeque<>();
   private int capacity;
   private int inProgress;
+  private boolean lastHadWaitedLong;
 
   /**
    * Creates an open gate.
    *
+   * @param longWaitMs after how long a request gets a turn before newer ones, in milliseconds
    * @param maxWaitMs the longest that a request waits, in milliseconds
    * @param capacity the requests that the target works on at a time; 0 if not known, which lets all
    *     pass
    */
-  RequestGate(int maxWaitMs, int capacity) {
+  RequestGate(int longWaitMs, int maxWaitMs, int capacity) {
+    this.longWaitMs = longWaitMs;
     this.maxWaitMs = maxWaitMs;
     this.capacity = capacity;
   }
@@ -88,6 +93,11 @@
     if (!isOpen()) {
       return null;
     }
+    AgentFlow longWaiting = lastHadWaitedLong ? null : overdue(longWaitMs, nowMs);
+    lastHadWaitedLong = longWaiting != null;
+    if (longWaiting != null) {
+      return longWaiting;
+    }
     AgentFlow flow = take(newRequests, nowMs);
     return flow != null ? flow : take(oldRequests, nowMs);
   }
@@ -117,15 +127,20 @@
   /** Returns a flow whose request has waited for as long as it may, or null if there is none. */
   @Nullable
   AgentFlow overdue(long nowMs) {
-    AgentFlow flow = overdueOf(newRequests, nowMs);
-    return flow != null ? flow : overdueOf(oldRequests, nowMs);
+    return overdue(maxWaitMs, nowMs);
+  }
+
+  @Nullable
+  private AgentFlow overdue(int waitMs, long nowMs) {
+    AgentFlow flow = overdueOf(newRequests, waitMs, nowMs);
+    return flow != null ? flow : overdueOf(oldRequests, waitMs, nowMs);
   }
 
   @Nullable
-  private AgentFlow overdueOf(Deque<AgentFlow> queue, long nowMs) {
+  private static AgentFlow overdueOf(Deque<AgentFlow> queue, int waitMs, long nowMs) {
     dropEnded(queue);
     AgentFlow oldest = queue.peekFirst();
-    boolean due = oldest != null && nowMs - oldest.waitingSinceMs >= maxWaitMs;
+    boolean due = oldest != null && nowMs - oldest.waitingSinceMs >= waitMs;
     return due ? queue.pollFirst() : null;
   }
 }
