--- /dev/null
+++ b/core/src/test/java/io/moorstage/core/transparent/Fleet.java
@@ -0,0 +1,132 @@
+package io.moorstage.core.transparent;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Flows, segments and states for tests, and actions that are written down. */
+final class Fleet {
+  static final String SERVICE = "tables";
+  static final int SERVICE_ADDRESS = 0xC6120001;
+  static final int PORT = 443;
+  static final int BALANCER = 0x0A010001;
+  static final ForwardingPolicy POLICY = ForwardingPolicy.STANDARD;
+
+  private Fleet() {}
+
+  static FlowId flow(int clientPort) {
+    return new FlowId(0x64400007, clientPort, SERVICE_ADDRESS, PORT);
+  }
+
+  static Segment open(FlowId flow, int copy) {
+    return new Segment(flow, Segment.Kind.OPEN, copy, false, 100, copy, 0);
+  }
+
+  static Segment data(FlowId flow, int sequence, int bytes) {
+    return new Segment(flow, Segment.Kind.DATA, 0, false, sequence, 7, bytes);
+  }
+
+  static Segment returned(Segment segment) {
+    return new Segment(
+        segment.flow(),
+        segment.kind(),
+        segment.copy(),
+        true,
+        segment.sequence(),
+        segment.acknowledged(),
+        segment.dataBytes());
+  }
+
+  static Segment accepted(FlowId flow) {
+    return new Segment(flow, Segment.Kind.OPEN_ACCEPTED, 0, false, 1, 101, 0);
+  }
+
+  static ByteBuffer bytes(Segment segment) {
+    return ByteBuffer.wrap(segment.toString().getBytes(java.nio.charset.StandardCharsets.UTF_8));
+  }
+
+  static TargetRecord target(int address, TargetPhase phase, long revision) {
+    return new TargetRecord("t" + address, SERVICE, address, "z", 2, phase, 0, revision);
+  }
+
+  static FleetState state(long revision, TargetRecord... targets) {
+    return state(revision, 1, targets);
+  }
+
+  static FleetState state(long revision, long version, TargetRecord... targets) {
+    ForwardingRoute route =
+        new ForwardingRoute(SERVICE_ADDRESS, PORT, List.of(new WeightedService(SERVICE, 1)));
+    return FleetState.of(
+        revision,
+        new ForwardingConfiguration(version, 60_000, List.of(route)),
+        List.of(targets));
+  }
+
+  /** What a balancer did, one text each. */
+  static final class BalancerRecord implements BalancerActions {
+    final List<String> done = new ArrayList<>();
+    final List<Integer> forwardedTo = new ArrayList<>();
+    final List<Integer> asked = new ArrayList<>();
+    final List<FlowId> reset = new ArrayList<>();
+    final List<Integer> caughtUpFrom = new ArrayList<>();
+
+    @Override
+    public void forward(int agentAddress, String service, long version, ByteBuffer datagram) {
+      forwardedTo.add(agentAddress);
+    }
+
+    @Override
+    public void ask(int peerAddress, FlowId flow) {
+      asked.add(peerAddress);
+    }
+
+    @Override
+    public void askBalancers(FlowId flow) {
+      done.add("ask-balancers");
+    }
+
+    @Override
+    public void reset(FlowId flow, int sequence) {
+      reset.add(flow);
+    }
+
+    @Override
+    public void catchUp(int peerAddress, long configurationVersion) {
+      caughtUpFrom.add(peerAddress);
+    }
+
+    int last() {
+      return forwardedTo.get(forwardedTo.size() - 1);
+    }
+  }
+
+  /** What an agent did. */
+  static final class AgentRecord implements AgentActions {
+    final List<String> delivered = new ArrayList<>();
+    final List<FlowId> toClients = new ArrayList<>();
+    final List<ReturnReason> givenBack = new ArrayList<>();
+    final List<FlowId> reset = new ArrayList<>();
+
+    @Override
+    public void deliver(ByteBuffer datagram) {
+      byte[] copy = new byte[datagram.remaining()];
+      datagram.duplicate().get(copy);
+      delivered.add(new String(copy, java.nio.charset.StandardCharsets.UTF_8));
+    }
+
+    @Override
+    public void sendToClient(FlowId flow, ByteBuffer datagram) {
+      toClients.add(flow);
+    }
+
+    @Override
+    public void giveBack(int balancer, ReturnReason reason, long version, ByteBuffer datagram) {
+      givenBack.add(reason);
+    }
+
+    @Override
+    public void reset(FlowId flow, int sequence) {
+      reset.add(flow);
+    }
+  }
+}
--- /dev/null
+++ b/core/src/test/java/io/moorstage/core/transparent/FleetStateTest.java
@@ -0,0 +1,67 @@
+package io.moorstage.core.transparent;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+class FleetStateTest {
+  private static final TargetRecord READY = Fleet.target(1, TargetPhase.READY, 3);
+
+  @Test
+  void completeReadingMarksTargetsThatItDoesNotListAsGone() {
+    FleetState state = Fleet.state(5, READY).replaceBy(Fleet.state(7));
+    assertThat(state.target(READY.id()).phase()).isEqualTo(TargetPhase.GONE);
+  }
+
+  @Test
+  void olderReadingTakesNothingBack() {
+    FleetState state = Fleet.state(5, 4, READY).replaceBy(Fleet.state(2, 3));
+    assertThat(state.target(READY.id()).phase()).isEqualTo(TargetPhase.READY);
+    assertThat(state.configuration().version()).isEqualTo(4);
+    assertThat(state.revision()).isEqualTo(5);
+  }
+
+  @Test
+  void targetThatIsWrittenAndGoesInOneAnswerIsGone() {
+    StateChanges changes =
+        new StateChanges(
+            9,
+            List.of(Fleet.target(2, TargetPhase.READY, 8)),
+            Map.of("t2", 9L),
+            null);
+    FleetState state = Fleet.state(5, READY).apply(changes);
+    assertThat(state.target("t2").phase()).isEqualTo(TargetPhase.GONE);
+    assertThat(state.target(READY.id()).phase()).isEqualTo(TargetPhase.READY);
+  }
+
+  @Test
+  void eventsThatAreToldAgainChangeNothing() {
+    StateChanges draining =
+        new StateChanges(6, List.of(Fleet.target(1, TargetPhase.DRAINING, 6)), Map.of(), null);
+    StateChanges repeated = new StateChanges(6, List.of(READY), Map.of(), null);
+    FleetState state = Fleet.state(5, READY).apply(draining).apply(repeated);
+    assertThat(state.target(READY.id()).phase()).isEqualTo(TargetPhase.DRAINING);
+  }
+
+  @Test
+  void configurationOfALowerVersionIsNeverTaken() {
+    StateChanges older =
+        new StateChanges(9, List.of(), Map.of(), Fleet.state(9, 2).configuration());
+    assertThat(Fleet.state(5, 3).apply(older).configuration().version()).isEqualTo(3);
+  }
+
+  @Test
+  void newFlowsFollowTheWeightsOfARoute() {
+    ForwardingRoute route =
+        new ForwardingRoute(
+            1, 443, List.of(new WeightedService("a", 3), new WeightedService("b", 1)));
+    int toA = 0;
+    for (int port = 1; port <= 4_000; port++) {
+      toA += "a".equals(route.serviceOf(Fleet.flow(port))) ? 1 : 0;
+    }
+    assertThat(toA).isAtLeast(2_850);
+    assertThat(toA).isAtMost(3_150);
+  }
+}
--- /dev/null
+++ b/core/src/test/java/io/moorstage/core/transparent/FlowAgentTest.java
@@ -0,0 +1,243 @@
+package io.moorstage.core.transparent;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+class FlowAgentTest {
+  private static final int CAPACITY = 2;
+  private static final int SPARE = 2;
+
+  private final Fleet.AgentRecord actions = new Fleet.AgentRecord();
+  private final FlowAgent agent =
+      new FlowAgent(Fleet.POLICY, Fleet.SERVICE, actions, DecisionLog.NONE, 0);
+  private long nowMs = 1_000;
+
+  private void forwarded(Segment segment) {
+    forwarded(segment, Fleet.SERVICE, 1);
+  }
+
+  private void forwarded(Segment segment, String service, long version) {
+    agent.onForwarded(Fleet.BALANCER, service, version, segment, Fleet.bytes(segment), nowMs);
+  }
+
+  private void fromTarget(Segment segment) {
+    agent.onTargetSegment(segment, Fleet.bytes(segment), nowMs);
+  }
+
+  private void openFlow(int port) {
+    forwarded(Fleet.open(Fleet.flow(port), 0));
+    fromTarget(Fleet.accepted(Fleet.flow(port)));
+  }
+
+  private void answer(int port) {
+    fromTarget(Fleet.data(Fleet.flow(port), 2, 100));
+  }
+
+  @Test
+  void openingOfAnotherServiceNeverReachesTheTarget() {
+    forwarded(Fleet.open(Fleet.flow(1), 0), "bundles", 1);
+    assertThat(actions.delivered).isEmpty();
+    assertThat(actions.givenBack).containsExactly(ReturnReason.OTHER_SERVICE);
+  }
+
+  @Test
+  void openingUnderAnOlderConfigurationThanOneInEffectIsGivenBack() {
+    forwarded(Fleet.open(Fleet.flow(1), 0), Fleet.SERVICE, 7);
+    forwarded(Fleet.open(Fleet.flow(2), 0), Fleet.SERVICE, 6);
+    assertThat(actions.delivered).hasSize(1);
+    assertThat(actions.givenBack).containsExactly(ReturnReason.OLD_CONFIGURATION);
+  }
+
+  @Test
+  void leavingTargetGetsNoOpeningAndKeepsItsFlows() {
+    openFlow(1);
+    agent.onPhase(TargetPhase.DRAINING, 9);
+    forwarded(Fleet.open(Fleet.flow(2), 0));
+    forwarded(Fleet.data(Fleet.flow(1), 101, 10));
+    assertThat(actions.delivered).hasSize(2);
+    assertThat(actions.givenBack).containsExactly(ReturnReason.LEAVING);
+  }
+
+  @Test
+  void olderWordOfTheTargetsPhaseIsNotTaken() {
+    agent.onPhase(TargetPhase.DRAINING, 9);
+    assertThat(agent.onPhase(TargetPhase.READY, 8)).isFalse();
+    assertThat(agent.phase()).isEqualTo(TargetPhase.DRAINING);
+  }
+
+  @Test
+  void returnedOpeningGoesBackToTheBalancer() {
+    forwarded(Fleet.open(Fleet.flow(1), 0));
+    fromTarget(Fleet.returned(Fleet.open(Fleet.flow(1), 0)));
+    assertThat(actions.givenBack).containsExactly(ReturnReason.FULL);
+  }
+
+  @Test
+  void unansweredOpeningIsGivenBackAndALateAnswerIsNotPassedOn() {
+    forwarded(Fleet.open(Fleet.flow(1), 0));
+    nowMs += Fleet.POLICY.silenceMs();
+    agent.onTick(nowMs);
+    assertThat(actions.givenBack).containsExactly(ReturnReason.SILENT);
+    fromTarget(Fleet.accepted(Fleet.flow(1)));
+    assertThat(actions.toClients).isEmpty();
+  }
+
+  @Test
+  void flowThatTheTargetHeldAndHasLostIsReset() {
+    openFlow(1);
+    forwarded(Fleet.data(Fleet.flow(1), 101, 10));
+    answer(1);
+    Segment next = Fleet.data(Fleet.flow(1), 111, 10);
+    forwarded(next);
+    fromTarget(Fleet.returned(next));
+    assertThat(actions.reset).containsExactly(Fleet.flow(1));
+    assertThat(agent.onAsked(Fleet.flow(1), nowMs)).isEqualTo(FlowKnowledge.LOST);
+  }
+
+  @Test
+  void flowThatWasOnlyAcceptedHereAndOpenedElsewhereIsGivenBackAndNotReset() {
+    openFlow(1);
+    Segment data = Fleet.data(Fleet.flow(1), 101, 10);
+    forwarded(data);
+    fromTarget(Fleet.returned(data));
+    assertThat(actions.reset).isEmpty();
+    assertThat(actions.givenBack).containsExactly(ReturnReason.NOT_HELD);
+    assertThat(agent.onAsked(Fleet.flow(1), nowMs)).isEqualTo(FlowKnowledge.NOT_HELD);
+  }
+
+  @Test
+  void restartedAgentLearnsItsFlowsFromTheTarget() {
+    assertThat(agent.onAsked(Fleet.flow(1), nowMs)).isEqualTo(FlowKnowledge.UNKNOWN);
+    answer(1);
+    assertThat(agent.onAsked(Fleet.flow(1), nowMs)).isEqualTo(FlowKnowledge.HELD);
+  }
+
+  @Test
+  void restartedAgentOffersAnUnknownFlowToItsTarget() {
+    Segment data = Fleet.data(Fleet.flow(1), 101, 10);
+    forwarded(data);
+    assertThat(actions.delivered).hasSize(1);
+    fromTarget(Fleet.returned(data));
+    assertThat(actions.givenBack).containsExactly(ReturnReason.NOT_HELD);
+  }
+
+  @Test
+  void agentThatHasRunForLongKnowsThatAnUnknownFlowIsNotHeld() {
+    nowMs = Fleet.POLICY.flowMemoryMs() + 1;
+    forwarded(Fleet.data(Fleet.flow(1), 101, 10));
+    assertThat(actions.delivered).isEmpty();
+    assertThat(actions.givenBack).containsExactly(ReturnReason.NOT_HELD);
+    assertThat(agent.onAsked(Fleet.flow(1), nowMs)).isEqualTo(FlowKnowledge.NOT_HELD);
+  }
+
+  private void fillTarget() {
+    agent.onCapacity(CAPACITY);
+    for (int port = 1; port <= CAPACITY + SPARE; port++) {
+      openFlow(port);
+      forwarded(Fleet.data(Fleet.flow(port), 101, 10));
+    }
+    actions.delivered.clear();
+  }
+
+  @Test
+  void requestWaitsWhileTheTargetIsAtItsLimitAndGoesWhenAnAnswerFreesAPlace() {
+    fillTarget();
+    openFlow(50);
+    actions.delivered.clear();
+    forwarded(Fleet.data(Fleet.flow(50), 101, 10));
+    assertThat(actions.delivered).isEmpty();
+    answer(1);
+    assertThat(actions.delivered).hasSize(1);
+  }
+
+  @Test
+  void requestThatIsKnownToBeNewGoesBeforeOneThatMayBeOld() {
+    fillTarget();
+    Segment old = Fleet.data(Fleet.flow(60), 101, 10);
+    forwarded(old);
+    openFlow(61);
+    actions.delivered.clear();
+    Segment fresh = Fleet.data(Fleet.flow(61), 101, 10);
+    forwarded(fresh);
+    answer(1);
+    assertThat(actions.delivered).containsExactly(fresh.toString());
+    answer(2);
+    assertThat(actions.delivered).containsExactly(fresh.toString(), old.toString()).inOrder();
+  }
+
+  @Test
+  void repeatedSegmentOfAWaitingRequestIsDeliveredOnce() {
+    fillTarget();
+    Segment data = Fleet.data(Fleet.flow(60), 101, 10);
+    forwarded(data);
+    forwarded(data);
+    answer(1);
+    assertThat(actions.delivered).containsExactly(data.toString());
+  }
+
+  @Test
+  void segmentsOfAWaitingRequestKeepTheirOrder() {
+    fillTarget();
+    Segment first = Fleet.data(Fleet.flow(60), 101, 10);
+    Segment second = Fleet.data(Fleet.flow(60), 111, 10);
+    forwarded(first);
+    forwarded(second);
+    answer(1);
+    assertThat(actions.delivered).containsExactly(first.toString(), second.toString()).inOrder();
+  }
+
+  @Test
+  void noRequestWaitsLongerThanItsBound() {
+    fillTarget();
+    Segment data = Fleet.data(Fleet.flow(60), 101, 10);
+    forwarded(data);
+    nowMs += Fleet.POLICY.requestWaitMs();
+    agent.onTick(nowMs);
+    assertThat(actions.delivered).containsExactly(data.toString());
+  }
+
+  // In a lasting overload each place that becomes free once went to requests that were late.
+  @Test
+  void requestThatHasWaitedLongGetsEveryOtherFreePlace() {
+    fillTarget();
+    for (int port = 60; port <= 63; port++) {
+      openFlow(port);
+      forwarded(Fleet.data(Fleet.flow(port), 101, 10));
+    }
+    nowMs += Fleet.POLICY.requestTurnMs();
+    openFlow(70);
+    openFlow(71);
+    actions.delivered.clear();
+    forwarded(Fleet.data(Fleet.flow(70), 101, 10));
+    forwarded(Fleet.data(Fleet.flow(71), 101, 10));
+    answer(1);
+    answer(2);
+    assertThat(actions.delivered)
+        .containsExactly(
+            Fleet.data(Fleet.flow(60), 101, 10).toString(),
+            Fleet.data(Fleet.flow(71), 101, 10).toString())
+        .inOrder();
+  }
+
+  @Test
+  void repetitionOfAnAnsweredRequestDoesNotCountAsInProgress() {
+    agent.onCapacity(CAPACITY);
+    openFlow(1);
+    Segment data = Fleet.data(Fleet.flow(1), 101, 10);
+    forwarded(data);
+    answer(1);
+    forwarded(data);
+    assertThat(agent.busyFlows()).isEqualTo(0);
+  }
+
+  @Test
+  void requestWhoseAnswerNeverComesStopsCountingAsInProgress() {
+    openFlow(1);
+    forwarded(Fleet.data(Fleet.flow(1), 101, 10));
+    assertThat(agent.busyFlows()).isEqualTo(1);
+    nowMs += Fleet.POLICY.requestForgetMs();
+    agent.onTick(nowMs);
+    assertThat(agent.busyFlows()).isEqualTo(0);
+  }
+}
--- a/forwarding/src/main/java/io/moorstage/forwarding/SourceFollower.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/SourceFollower.java
@@ -9,7 +9,7 @@
  * everything again only when the source has lost its history.
  */
 final class SourceFollower {
-  private static final int WAIT_MS = 1_000;
+  private static final int WAIT_MS = 2_000;
   private static final int FIRST_BACKOFF_MS = 60;
   private static final int MAX_BACKOFF_MS = 600;
 
--- /dev/null
+++ b/forwarding/src/test/java/io/moorstage/forwarding/ForwardingSettingsTest.java
@@ -0,0 +1,75 @@
+package io.moorstage.forwarding;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import io.moorstage.core.model.Endpoint;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+
+class ForwardingSettingsTest {
+  private static final String BALANCER =
+      """
+      # a comment
+      node.id: b1
+      node.zone: lac
+      node.address: 10.1.0.10
+      node.peer-port: 7720
+      node.state-port: 7735
+      node.readiness-address: 10.1.0.10:8167
+      node.seeds: 10.1.0.10:8166,10.2.0.40:8166
+      source.address: 10.200.1.7:8169
+      client.address: 10.1.0.10:8172
+      """;
+
+  @Test
+  void settingsOfABalancerAreRead() throws ForwardingSettingsException {
+    ForwardingSettings settings =
+        ForwardingSettings.parse(ForwardingSettings.Program.BALANCER, BALANCER);
+    assertThat(settings.nodeId()).isEqualTo("b1");
+    assertThat(settings.seeds()).hasSize(2);
+    assertThat(settings.clientEndpoint()).isEqualTo(Endpoint.of(0x0A01000A, 8172));
+  }
+
+  @Test
+  void emptySeedsAreAllowed() throws ForwardingSettingsException {
+    String text = BALANCER.replace("10.1.0.10:8166,10.2.0.40:8166", "");
+    assertThat(ForwardingSettings.parse(ForwardingSettings.Program.BALANCER, text).seeds())
+        .isEmpty();
+  }
+
+  @Test
+  void everythingThatIsWrongIsToldAtOnce() {
+    String text =
+        BALANCER
+            .replace("node.address: 10.1.0.10", "node.address: 10.1.0.300")
+            .replace("7720", "99999")
+            .replace("node.zone: lac", "nonsense")
+            + "node.id: again\n";
+    ForwardingSettingsException refused =
+        assertThrows(
+            ForwardingSettingsException.class,
+            () -> ForwardingSettings.parse(ForwardingSettings.Program.AGENT, text));
+    assertThat(refused.problems().stream().map(p -> p.kind() + " " + p.key()).toList())
+        .containsExactly(
+            "MALFORMED_LINE ",
+            "DUPLICATE_KEY node.id",
+            "MISSING node.zone",
+            "BAD_VALUE node.address",
+            "BAD_VALUE node.peer-port",
+            "MISSING agent.target-address",
+            "MISSING agent.egress-address",
+            "MISSING agent.service");
+  }
+
+  @Test
+  void missingFileIsATypedFailure() {
+    ForwardingSettingsException refused =
+        assertThrows(
+            ForwardingSettingsException.class,
+            () ->
+                ForwardingSettings.load(
+                    ForwardingSettings.Program.BALANCER, Path.of("no-such-file")));
+    assertThat(refused.failure()).isEqualTo(SettingsProblem.Kind.UNREADABLE);
+  }
+}
--- /dev/null
+++ b/forwarding/src/test/java/io/moorstage/forwarding/PeerMessageCodecTest.java
@@ -0,0 +1,84 @@
+package io.moorstage.forwarding;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.moorstage.core.transparent.FlowId;
+import io.moorstage.core.transparent.FlowKnowledge;
+import io.moorstage.core.transparent.ReturnReason;
+import io.moorstage.core.transparent.TargetPhase;
+import java.nio.ByteBuffer;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+
+class PeerMessageCodecTest {
+  private static final FlowId FLOW = new FlowId(0x64400007, 40_001, 0xC6120001, 443);
+
+  private static PeerMessage throughTheWire(PeerMessage message) {
+    ByteBuffer buffer = ByteBuffer.allocate(PeerMessageCodec.MAX_BYTES);
+    PeerMessageCodec.encode(message, buffer);
+    return PeerMessageCodec.decode(buffer.flip());
+  }
+
+  @Test
+  void forwardedSegmentComesThroughUnchanged() {
+    byte[] segment = {1, 2, 3, 4};
+    PeerMessage.Forward read =
+        (PeerMessage.Forward)
+            throughTheWire(new PeerMessage.Forward("tables", 42, ByteBuffer.wrap(segment)));
+    assertThat(read.service()).isEqualTo("tables");
+    assertThat(read.configurationVersion()).isEqualTo(42);
+    assertThat(read.datagram()).isEqualTo(ByteBuffer.wrap(segment));
+  }
+
+  @Test
+  void segmentGivenBackComesThroughWithItsReason() {
+    PeerMessage.GiveBack read =
+        (PeerMessage.GiveBack)
+            throughTheWire(
+                new PeerMessage.GiveBack(
+                    ReturnReason.LEAVING, 9, ByteBuffer.wrap(new byte[] {5})));
+    assertThat(read.reason()).isEqualTo(ReturnReason.LEAVING);
+    assertThat(read.datagram().remaining()).isEqualTo(1);
+  }
+
+  @Test
+  void questionAndAnswerComeThrough() {
+    PeerMessage ask = new PeerMessage.Ask(FLOW);
+    PeerMessage answer = new PeerMessage.Answer(FLOW, FlowKnowledge.HELD, 7);
+    assertThat(throughTheWire(ask)).isEqualTo(ask);
+    assertThat(throughTheWire(answer)).isEqualTo(answer);
+  }
+
+  @Test
+  void beaconsComeThrough() {
+    PeerMessage.BalancerBeacon read =
+        (PeerMessage.BalancerBeacon)
+            throughTheWire(
+                new PeerMessage.BalancerBeacon(
+                    8, "lac", TargetPhase.DRAINING, 5, new int[] {1, 2}));
+    assertThat(read.phase()).isEqualTo(TargetPhase.DRAINING);
+    assertThat(read.balancers()).asList().containsExactly(1, 2).inOrder();
+
+    PeerMessage.AgentBeacon agent =
+        (PeerMessage.AgentBeacon)
+            throughTheWire(new PeerMessage.AgentBeacon("s", 3, 4, true, new int[0]));
+    assertThat(agent.stopping()).isTrue();
+    assertThat(agent.busyFlows()).isEqualTo(4);
+  }
+
+  @Property(seed = "20261202", tries = 20_000)
+  void anyBytesAreAMessageOrNone(@ForAll @Size(max = 64) byte[] bytes) {
+    PeerMessageCodec.decode(ByteBuffer.wrap(bytes));
+  }
+
+  @Property(seed = "20261202", tries = 5_000)
+  void anyBytesAreAStateOrATypedFailure(@ForAll @Size(max = 64) byte[] bytes) {
+    try {
+      FleetStateCodec.decode(bytes);
+    } catch (StateSourceException e) {
+      assertThat(e.failure()).isEqualTo(StateSourceFailure.MALFORMED);
+    }
+  }
+}
