--- a/core/src/main/java/io/moorstage/core/transparent/BalancerActions.java
+++ b/core/src/main/java/io/moorstage/core/transparent/BalancerActions.java
@@ -11,9 +11,15 @@
    * @param agentAddress the machine of agent and target
    * @param service the service that the flow belongs to
    * @param configurationVersion the configuration that this was decided by
+   * @param timeoutMs how long a request of the flow's route may take; 0 if not known
    * @param datagram the segment
    */
-  void forward(int agentAddress, String service, long configurationVersion, ByteBuffer datagram);
+  void forward(
+      int agentAddress,
+      String service,
+      long configurationVersion,
+      int timeoutMs,
+      ByteBuffer datagram);
 
   /** Asks an agent or another balancer what it knows of a flow. */
   void ask(int peerAddress, FlowId flow);
--- a/core/src/main/java/io/moorstage/core/transparent/BalancerFlow.java
+++ b/core/src/main/java/io/moorstage/core/transparent/BalancerFlow.java
@@ -67,6 +67,7 @@
   static final class Location {
     final List<byte[]> held = new ArrayList<>(2);
     final List<TargetSlot> unanswered = new ArrayList<>();
+
     /** Addresses of agents that may know the flow and are not heard from. */
     final List<Integer> absent = new ArrayList<>(0);
 
--- a/core/src/main/java/io/moorstage/core/transparent/FleetState.java
+++ b/core/src/main/java/io/moorstage/core/transparent/FleetState.java
@@ -78,9 +78,7 @@
     }
     boolean newer = other.configuration.version() > configuration.version();
     return new FleetState(
-        Math.max(revision, other.revision),
-        newer ? other.configuration : configuration,
-        merged);
+        Math.max(revision, other.revision), newer ? other.configuration : configuration, merged);
   }
 
   /**
--- a/core/src/main/java/io/moorstage/core/transparent/FlowAgent.java
+++ b/core/src/main/java/io/moorstage/core/transparent/FlowAgent.java
@@ -10,12 +10,13 @@
 import java.util.Map;
 
 /**
- * The decisions of an agent: what its target gets, and what goes back to the balancers. Thread-safe:
- * each call holds the agent's lock.
+ * The decisions of an agent: what its target gets, and what goes back to the balancers.
+ * Thread-safe: each call holds the agent's lock.
  */
 public final class FlowAgent {
   private static final int MAX_WAITING_SEGMENTS = 16;
   private static final int JUST_OPENED_MS = 150;
+  private static final double MIN_TIMEOUT_IN_WAITS = 2.5;
 
   private final ForwardingPolicy policy;
   private final String service;
@@ -40,11 +41,7 @@
    * @param nowMs the time of the start
    */
   public FlowAgent(
-      ForwardingPolicy policy,
-      String service,
-      AgentActions actions,
-      DecisionLog log,
-      long nowMs) {
+      ForwardingPolicy policy, String service, AgentActions actions, DecisionLog log, long nowMs) {
     this.policy = policy;
     this.service = service;
     this.actions = actions;
@@ -96,11 +93,13 @@
    * @param balancerAddress the balancer's machine
    * @param flowService the service that the balancer takes the flow to belong to
    * @param configurationVersion the configuration that the balancer decided by
+   * @param timeoutMs how long a request of the flow's route may take; 0 if not known
    */
   public synchronized void onForwarded(
       int balancerAddress,
       String flowService,
       long configurationVersion,
+      int timeoutMs,
       Segment segment,
       ByteBuffer datagram,
       long nowMs) {
@@ -122,7 +121,7 @@
     }
     flow.balancerAddress = balancerAddress;
     flow.lastUsedMs = nowMs;
-    if (mustWait(flow, segment, datagram, nowMs)) {
+    if (mustWait(flow, timeoutMs, segment, datagram, nowMs)) {
       return;
     }
     if (segment.dataBytes() > 0 && noteClientData(flow, segment)) {
@@ -132,7 +131,9 @@
     actions.deliver(datagram);
   }
 
-  /** Notes how far the client's data has come; returns whether the segment brings any that is new. */
+  /**
+   * Notes how far the client's data has come; returns whether the segment brings any that is new.
+   */
   private static boolean noteClientData(AgentFlow flow, Segment segment) {
     int end = segment.sequence() + segment.dataBytes();
     boolean isNew = !flow.clientSequenceKnown || end - flow.clientSequence > 0;
@@ -143,12 +144,15 @@
     return isNew;
   }
 
-  private boolean mustWait(AgentFlow flow, Segment segment, ByteBuffer datagram, long nowMs) {
+  private boolean mustWait(
+      AgentFlow flow, int timeoutMs, Segment segment, ByteBuffer datagram, long nowMs) {
     if (flow.waiting != null) {
-      return keepWaiting(flow, segment, datagram, nowMs);
+      return keepWaiting(flow, segment, datagram);
     }
     boolean begins = segment.dataBytes() > 0 && !flow.busy;
-    if (!begins || gate.isOpen()) {
+    // Where time is short, a request that waits is given up by its client and done in vain.
+    boolean hasTime = timeoutMs >= MIN_TIMEOUT_IN_WAITS * policy.requestWaitMs();
+    if (!begins || !hasTime || gate.isOpen()) {
       return false;
     }
     if (!noteClientData(flow, segment)) {
@@ -161,7 +165,7 @@
     return true;
   }
 
-  private boolean keepWaiting(AgentFlow flow, Segment segment, ByteBuffer datagram, long nowMs) {
+  private boolean keepWaiting(AgentFlow flow, Segment segment, ByteBuffer datagram) {
     if (segment.kind() == Segment.Kind.RESET) {
       stopWaiting(flow);
       return false;
--- a/core/src/main/java/io/moorstage/core/transparent/FlowBalancer.java
+++ b/core/src/main/java/io/moorstage/core/transparent/FlowBalancer.java
@@ -192,7 +192,10 @@
   }
 
   private void send(BalancerFlow flow, TargetSlot target, ByteBuffer datagram) {
-    actions.forward(target.address(), flow.service, state.configuration().version(), datagram);
+    ForwardingConfiguration configuration = state.configuration();
+    ForwardingRoute route = configuration.routeOf(flow.id);
+    int timeoutMs = route == null ? 0 : route.timeoutMs();
+    actions.forward(target.address(), flow.service, configuration.version(), timeoutMs, datagram);
   }
 
   // ---- new flows ----
@@ -218,7 +221,7 @@
     flow.lastUsedMs = nowMs;
     if (flow.target == null || flow.location != null) {
       place(flow, segment, datagram, "copy", nowMs);
-    } else if (flow.answered || mayRepeat(flow, nowMs)) {
+    } else if (flow.answered || mayRepeat(flow, nowMs) || !hasOther(flow, nowMs)) {
       log.decided(Decision.REPEATED, flow.id, flow.target.address(), "copy", ageOfState(nowMs));
       flow.unreturnedOpens++;
       send(flow, flow.target, datagram);
@@ -230,6 +233,15 @@
     }
   }
 
+  private boolean hasOther(BalancerFlow flow, long nowMs) {
+    TargetPool pool = pools.ofService(flow.service);
+    List<TargetSlot> excluded = new ArrayList<>(flow.tried);
+    excluded.add(flow.target);
+    boolean mayRepeatHere = flow.target.record().phase() == TargetPhase.READY;
+    boolean other = pool != null && pool.choose(flow.id, excluded, nowMs) != null;
+    return other || !mayRepeatHere;
+  }
+
   private static boolean mayRepeat(BalancerFlow flow, long nowMs) {
     TargetSlot target = flow.target;
     boolean ready = target.record().phase() == TargetPhase.READY;
@@ -262,8 +274,7 @@
     send(flow, chosen, datagram);
   }
 
-  private void refuse(
-      BalancerFlow flow, Segment segment, ByteBuffer datagram, long nowMs) {
+  private void refuse(BalancerFlow flow, Segment segment, ByteBuffer datagram, long nowMs) {
     if (flow.unreturnedOpens > 0) {
       // A target may still accept: a reset could hit an open flow.
       flow.tried.clear();
@@ -417,7 +428,8 @@
     TargetSlot other = takeUntriedAnswer(flow);
     if (other != null) {
       flow.moveTo(other);
-      log.decided(Decision.LOCATED, flow.id, other.address(), "opened-at-other", nowMs - flow.openedAtMs);
+      log.decided(
+          Decision.LOCATED, flow.id, other.address(), "opened-at-other", nowMs - flow.openedAtMs);
       send(flow, other, datagram);
       return;
     }
@@ -448,8 +460,7 @@
     startLocation(flow, segment, datagram, nowMs);
   }
 
-  private void startLocation(
-      BalancerFlow flow, Segment segment, ByteBuffer datagram, long nowMs) {
+  private void startLocation(BalancerFlow flow, Segment segment, ByteBuffer datagram, long nowMs) {
     TargetSlot excluded = flow.target;
     flow.moveTo(null);
     flow.confirmed = false;
--- a/core/src/main/java/io/moorstage/core/transparent/RequestGate.java
+++ b/core/src/main/java/io/moorstage/core/transparent/RequestGate.java
@@ -11,8 +11,8 @@
  * meanwhile, and are late already, would make all later ones late as well. The gate keeps no more
  * requests in progress than the target works on, plus a few, and lets the others wait: requests
  * known to be new go before those that may be old, and once the queue stands, the newest goes first
- * (adaptive LIFO, as in Maurer, "Fail at Scale", ACM Queue 2015). A request that has waited for long
- * gets every other place that becomes free, so that new ones can't starve it nor it them; none
+ * (adaptive LIFO, as in Maurer, "Fail at Scale", ACM Queue 2015). A request that has waited for
+ * long gets every other place that becomes free, so that new ones can't starve it nor it them; none
  * waits longer than a bound, after which the target itself decides.
  */
 final class RequestGate {
--- a/core/src/main/java/io/moorstage/core/transparent/TargetPool.java
+++ b/core/src/main/java/io/moorstage/core/transparent/TargetPool.java
@@ -4,7 +4,9 @@
 import java.util.List;
 import javax.annotation.Nullable;
 
-/** The targets of one service, and the choice among them for a new flow. Immutable but for slots. */
+/**
+ * The targets of one service, and the choice among them for a new flow. Immutable but for slots.
+ */
 public final class TargetPool {
   private static final int REPORT_VALID_MS = 1_500;
   private static final double SLOW_START_FACTOR = 2.5;
--- a/core/src/test/java/io/moorstage/core/transparent/Fleet.java
+++ b/core/src/test/java/io/moorstage/core/transparent/Fleet.java
@@ -55,11 +55,9 @@
 
   static FleetState state(long revision, long version, TargetRecord... targets) {
     ForwardingRoute route =
-        new ForwardingRoute(SERVICE_ADDRESS, PORT, List.of(new WeightedService(SERVICE, 1)));
+        new ForwardingRoute(SERVICE_ADDRESS, PORT, 3_000, List.of(new WeightedService(SERVICE, 1)));
     return FleetState.of(
-        revision,
-        new ForwardingConfiguration(version, 60_000, List.of(route)),
-        List.of(targets));
+        revision, new ForwardingConfiguration(version, 60_000, List.of(route)), List.of(targets));
   }
 
   /** What a balancer did, one text each. */
@@ -71,7 +69,8 @@
     final List<Integer> caughtUpFrom = new ArrayList<>();
 
     @Override
-    public void forward(int agentAddress, String service, long version, ByteBuffer datagram) {
+    public void forward(
+        int agentAddress, String service, long version, int timeoutMs, ByteBuffer datagram) {
       forwardedTo.add(agentAddress);
     }
 
--- a/core/src/test/java/io/moorstage/core/transparent/FleetStateTest.java
+++ b/core/src/test/java/io/moorstage/core/transparent/FleetStateTest.java
@@ -26,11 +26,7 @@
   @Test
   void targetThatIsWrittenAndGoesInOneAnswerIsGone() {
     StateChanges changes =
-        new StateChanges(
-            9,
-            List.of(Fleet.target(2, TargetPhase.READY, 8)),
-            Map.of("t2", 9L),
-            null);
+        new StateChanges(9, List.of(Fleet.target(2, TargetPhase.READY, 8)), Map.of("t2", 9L), null);
     FleetState state = Fleet.state(5, READY).apply(changes);
     assertThat(state.target("t2").phase()).isEqualTo(TargetPhase.GONE);
     assertThat(state.target(READY.id()).phase()).isEqualTo(TargetPhase.READY);
@@ -56,7 +52,7 @@
   void newFlowsFollowTheWeightsOfARoute() {
     ForwardingRoute route =
         new ForwardingRoute(
-            1, 443, List.of(new WeightedService("a", 3), new WeightedService("b", 1)));
+            1, 443, 3_000, List.of(new WeightedService("a", 3), new WeightedService("b", 1)));
     int toA = 0;
     for (int port = 1; port <= 4_000; port++) {
       toA += "a".equals(route.serviceOf(Fleet.flow(port))) ? 1 : 0;
--- a/core/src/test/java/io/moorstage/core/transparent/FlowAgentTest.java
+++ b/core/src/test/java/io/moorstage/core/transparent/FlowAgentTest.java
@@ -7,6 +7,7 @@
 class FlowAgentTest {
   private static final int CAPACITY = 2;
   private static final int SPARE = 2;
+  private static final int TIMEOUT_MS = 3_000;
 
   private final Fleet.AgentRecord actions = new Fleet.AgentRecord();
   private final FlowAgent agent =
@@ -18,7 +19,12 @@
   }
 
   private void forwarded(Segment segment, String service, long version) {
-    agent.onForwarded(Fleet.BALANCER, service, version, segment, Fleet.bytes(segment), nowMs);
+    forwarded(segment, service, version, TIMEOUT_MS);
+  }
+
+  private void forwarded(Segment segment, String service, long version, int timeoutMs) {
+    agent.onForwarded(
+        Fleet.BALANCER, service, version, timeoutMs, segment, Fleet.bytes(segment), nowMs);
   }
 
   private void fromTarget(Segment segment) {
@@ -151,6 +157,15 @@
     assertThat(actions.delivered).hasSize(1);
   }
 
+  // With short time-outs, requests that waited were done in vain and kept the target busy.
+  @Test
+  void requestOfARouteWithAShortTimeoutDoesNotWait() {
+    fillTarget();
+    Segment data = Fleet.data(Fleet.flow(60), 101, 10);
+    forwarded(data, Fleet.SERVICE, 1, 1_200);
+    assertThat(actions.delivered).containsExactly(data.toString());
+  }
+
   @Test
   void requestThatIsKnownToBeNewGoesBeforeOneThatMayBeOld() {
     fillTarget();
--- a/core/src/test/java/io/moorstage/core/transparent/FlowBalancerTest.java
+++ b/core/src/test/java/io/moorstage/core/transparent/FlowBalancerTest.java
@@ -246,14 +246,12 @@
     hear(A, B, C);
     Segment data = Fleet.data(Fleet.flow(1), 101, 10);
     client(data);
-    balancer.onKnowledge(
-        OTHER_BALANCER, Fleet.flow(1), FlowKnowledge.KNOWN_ELSEWHERE, A, nowMs);
+    balancer.onKnowledge(OTHER_BALANCER, Fleet.flow(1), FlowKnowledge.KNOWN_ELSEWHERE, A, nowMs);
     assertThat(actions.forwardedTo).containsExactly(A);
     assertThat(balancer.knownTarget(Fleet.flow(1))).isEqualTo(0);
 
     givenBack(A, ReturnReason.NOT_HELD, 1, data);
-    balancer.onKnowledge(
-        OTHER_BALANCER, Fleet.flow(1), FlowKnowledge.KNOWN_ELSEWHERE, A, nowMs);
+    balancer.onKnowledge(OTHER_BALANCER, Fleet.flow(1), FlowKnowledge.KNOWN_ELSEWHERE, A, nowMs);
     assertThat(actions.forwardedTo).containsExactly(A);
   }
 
--- a/forwarding/src/main/java/io/moorstage/forwarding/AgentDaemon.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/AgentDaemon.java
@@ -166,6 +166,7 @@
             sourceAddress,
             forward.service(),
             forward.configurationVersion(),
+            forward.timeoutMs(),
             segment,
             forward.datagram(),
             nowMs);
@@ -193,8 +194,7 @@
   private void answer(int balancer, FlowId flow, long nowMs) {
     FlowKnowledge knowledge = agent.onAsked(flow, nowMs);
     ByteBuffer buffer = ByteBuffer.allocate(PeerMessageCodec.MAX_BYTES);
-    PeerMessageCodec.encode(
-        new PeerMessage.Answer(flow, knowledge, settings.address()), buffer);
+    PeerMessageCodec.encode(new PeerMessage.Answer(flow, knowledge, settings.address()), buffer);
     peerPort.send(buffer.flip(), peers.get(balancer));
   }
 
--- a/forwarding/src/main/java/io/moorstage/forwarding/BalancerDaemon.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/BalancerDaemon.java
@@ -7,7 +7,9 @@
 import io.moorstage.core.transparent.FlowBalancer;
 import io.moorstage.core.transparent.FlowId;
 import io.moorstage.core.transparent.FlowKnowledge;
+import io.moorstage.core.transparent.ForwardingConfiguration;
 import io.moorstage.core.transparent.ForwardingPolicy;
+import io.moorstage.core.transparent.ForwardingRoute;
 import io.moorstage.core.transparent.Segment;
 import io.moorstage.core.transparent.SegmentCodec;
 import io.moorstage.core.transparent.TargetPhase;
@@ -63,8 +65,8 @@
     this.settings = settings;
     this.segments = segments;
     this.log = log;
-    this.balancer = new FlowBalancer(
-            ForwardingPolicy.STANDARD, new Actions(), log, MonotonicClock.nowMs());
+    this.balancer =
+        new FlowBalancer(ForwardingPolicy.STANDARD, new Actions(), log, MonotonicClock.nowMs());
     this.keeper = new StateKeeper(ForwardingPolicy.STANDARD.goneMemoryMs(), this::onState);
     this.balancers = new PeerDirectory(settings.address());
     this.peers = new AddressCache(settings.peerPort());
@@ -166,6 +168,8 @@
           after.configuration().version(),
           "routes",
           after.configuration().routes().size(),
+          "shortest-timeout-ms",
+          shortestTimeoutMs(after.configuration()),
           "revision",
           after.revision());
     }
@@ -179,6 +183,14 @@
     }
   }
 
+  private static int shortestTimeoutMs(ForwardingConfiguration configuration) {
+    int shortestMs = Integer.MAX_VALUE;
+    for (ForwardingRoute route : configuration.routes()) {
+      shortestMs = Math.min(shortestMs, route.timeoutMs());
+    }
+    return shortestMs;
+  }
+
   private boolean logTargets(FleetState before, FleetState after) {
     boolean changed = false;
     for (TargetRecord target : after.targets()) {
@@ -263,8 +275,7 @@
     }
   }
 
-  private void sendBeacon(
-      int address, long revision, @Nullable TargetRecord target, int[] live) {
+  private void sendBeacon(int address, long revision, @Nullable TargetRecord target, int[] live) {
     TargetPhase phase = target == null ? null : target.phase();
     int capacity = target == null ? 0 : target.capacity();
     beaconOut.clear();
@@ -363,8 +374,9 @@
   /** Carries out decisions; called under the balancer's lock, which guards {@link #out} too. */
   private final class Actions implements BalancerActions {
     @Override
-    public void forward(int agentAddress, String service, long version, ByteBuffer datagram) {
-      sendOut(new PeerMessage.Forward(service, version, datagram), agentAddress);
+    public void forward(
+        int agentAddress, String service, long version, int timeoutMs, ByteBuffer datagram) {
+      sendOut(new PeerMessage.Forward(service, version, timeoutMs, datagram), agentAddress);
     }
 
     private void sendOut(PeerMessage message, int address) {
--- a/forwarding/src/main/java/io/moorstage/forwarding/FleetStateCodec.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/FleetStateCodec.java
@@ -38,14 +38,15 @@
     return bytes.toByteArray();
   }
 
-  private static void writeConfiguration(ForwardingConfiguration configuration, DataOutputStream out)
-      throws IOException {
+  private static void writeConfiguration(
+      ForwardingConfiguration configuration, DataOutputStream out) throws IOException {
     out.writeLong(configuration.version());
     out.writeInt(configuration.idleTimeoutMs());
     out.writeInt(configuration.routes().size());
     for (ForwardingRoute route : configuration.routes()) {
       out.writeInt(route.address());
       out.writeInt(route.port());
+      out.writeInt(route.timeoutMs());
       out.writeInt(route.services().size());
       for (WeightedService part : route.services()) {
         out.writeUTF(part.service());
@@ -84,7 +85,8 @@
       }
       return FleetState.of(revision, configuration, targets);
     } catch (IOException e) {
-      throw new StateSourceException(StateSourceFailure.MALFORMED, "a peer's state is malformed", e);
+      throw new StateSourceException(
+          StateSourceFailure.MALFORMED, "a peer's state is malformed", e);
     }
   }
 
@@ -104,12 +106,13 @@
     for (int i = 0; i < count; i++) {
       int address = in.readInt();
       int port = in.readInt();
+      int timeoutMs = in.readInt();
       int parts = readCount(in);
       List<WeightedService> services = new ArrayList<>(1);
       for (int j = 0; j < parts; j++) {
         services.add(new WeightedService(in.readUTF(), in.readInt()));
       }
-      routes.add(new ForwardingRoute(address, port, services));
+      routes.add(new ForwardingRoute(address, port, timeoutMs, services));
     }
     return new ForwardingConfiguration(version, idleTimeoutMs, routes);
   }
--- a/forwarding/src/main/java/io/moorstage/forwarding/PeerMessage.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/PeerMessage.java
@@ -15,9 +15,10 @@
    *
    * @param service the service that the flow belongs to
    * @param configurationVersion the configuration that the balancer decided by
+   * @param timeoutMs how long a request of the flow's route may take; 0 if not known
    * @param datagram the segment
    */
-  record Forward(String service, long configurationVersion, ByteBuffer datagram)
+  record Forward(String service, long configurationVersion, int timeoutMs, ByteBuffer datagram)
       implements PeerMessage {}
 
   /**
--- a/forwarding/src/main/java/io/moorstage/forwarding/PeerMessageCodec.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/PeerMessageCodec.java
@@ -10,8 +10,9 @@
 import javax.annotation.Nullable;
 
 /**
- * The form of {@link PeerMessage} on the wire, big-endian: a type byte, then the fields in the order
- * of their declaration; a string has a length byte before it, a list of addresses a count byte.
+ * The form of {@link PeerMessage} on the wire, big-endian: a type byte, then the fields in the
+ * order of their declaration; a string has a length byte before it, a list of addresses a count
+ * byte.
  */
 public final class PeerMessageCodec {
   /** The largest message, in bytes: the largest segment and what precedes it. */
@@ -37,7 +38,8 @@
     if (message instanceof PeerMessage.Forward forward) {
       out.put(FORWARD);
       putText(forward.service(), out);
-      out.putLong(forward.configurationVersion()).put(forward.datagram().duplicate());
+      out.putLong(forward.configurationVersion()).putInt(forward.timeoutMs());
+      out.put(forward.datagram().duplicate());
     } else if (message instanceof PeerMessage.GiveBack giveBack) {
       out.put(GIVE_BACK).put((byte) giveBack.reason().ordinal());
       out.putLong(giveBack.configurationVersion()).put(giveBack.datagram().duplicate());
@@ -102,7 +104,7 @@
   private static PeerMessage decodeFields(ByteBuffer in) {
     switch (in.get()) {
       case FORWARD:
-        return new PeerMessage.Forward(getText(in), in.getLong(), in.slice());
+        return new PeerMessage.Forward(getText(in), in.getLong(), in.getInt(), in.slice());
       case GIVE_BACK:
         ReturnReason reason = ReturnReason.ofNumber(in.get());
         long version = in.getLong();
@@ -134,8 +136,7 @@
       return null;
     }
     TargetPhase phase = phaseNumber == NO_PHASE ? null : phases[phaseNumber];
-    return new PeerMessage.BalancerBeacon(
-        revision, zone, phase, in.getInt(), getAddresses(in));
+    return new PeerMessage.BalancerBeacon(revision, zone, phase, in.getInt(), getAddresses(in));
   }
 
   private static String getText(ByteBuffer in) {
--- a/forwarding/src/main/java/io/moorstage/forwarding/PeerStateClient.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/PeerStateClient.java
@@ -35,8 +35,7 @@
         return in.readNBytes(MAX_BYTES);
       }
     } catch (IOException e) {
-      throw new StateSourceException(
-          StateSourceFailure.UNREACHABLE, peer + " gives no state", e);
+      throw new StateSourceException(StateSourceFailure.UNREACHABLE, peer + " gives no state", e);
     }
   }
 }
--- a/forwarding/src/main/java/io/moorstage/forwarding/StateSource.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/StateSource.java
@@ -4,8 +4,8 @@
 import io.moorstage.core.transparent.StateChanges;
 
 /**
- * Where configuration and targets come from: a service that can only be read. Its acknowledgement of
- * a configuration is the acceptance.
+ * Where configuration and targets come from: a service that can only be read. Its acknowledgement
+ * of a configuration is the acceptance.
  */
 public interface StateSource {
 
--- a/forwarding/src/test/java/io/moorstage/forwarding/ForwardingSettingsTest.java
+++ b/forwarding/src/test/java/io/moorstage/forwarding/ForwardingSettingsTest.java
@@ -42,9 +42,9 @@
   void everythingThatIsWrongIsToldAtOnce() {
     String text =
         BALANCER
-            .replace("node.address: 10.1.0.10", "node.address: 10.1.0.300")
-            .replace("7720", "99999")
-            .replace("node.zone: lac", "nonsense")
+                .replace("node.address: 10.1.0.10", "node.address: 10.1.0.300")
+                .replace("7720", "99999")
+                .replace("node.zone: lac", "nonsense")
             + "node.id: again\n";
     ForwardingSettingsException refused =
         assertThrows(
--- a/forwarding/src/test/java/io/moorstage/forwarding/PeerMessageCodecTest.java
+++ b/forwarding/src/test/java/io/moorstage/forwarding/PeerMessageCodecTest.java
@@ -26,9 +26,10 @@
     byte[] segment = {1, 2, 3, 4};
     PeerMessage.Forward read =
         (PeerMessage.Forward)
-            throughTheWire(new PeerMessage.Forward("tables", 42, ByteBuffer.wrap(segment)));
+            throughTheWire(new PeerMessage.Forward("tables", 42, 900, ByteBuffer.wrap(segment)));
     assertThat(read.service()).isEqualTo("tables");
     assertThat(read.configurationVersion()).isEqualTo(42);
+    assertThat(read.timeoutMs()).isEqualTo(900);
     assertThat(read.datagram()).isEqualTo(ByteBuffer.wrap(segment));
   }
 
@@ -37,8 +38,7 @@
     PeerMessage.GiveBack read =
         (PeerMessage.GiveBack)
             throughTheWire(
-                new PeerMessage.GiveBack(
-                    ReturnReason.LEAVING, 9, ByteBuffer.wrap(new byte[] {5})));
+                new PeerMessage.GiveBack(ReturnReason.LEAVING, 9, ByteBuffer.wrap(new byte[] {5})));
     assertThat(read.reason()).isEqualTo(ReturnReason.LEAVING);
     assertThat(read.datagram().remaining()).isEqualTo(1);
   }
