--- a/core/src/main/java/io/moorstage/core/transparent/BalancerFlow.java
+++ b/core/src/main/java/io/moorstage/core/transparent/BalancerFlow.java
@@ -41,6 +41,12 @@
     this.lastUsedMs = nowMs;
   }
 
+  static byte[] copyOf(ByteBuffer datagram) {
+    byte[] copy = new byte[datagram.remaining()];
+    datagram.get(datagram.position(), copy);
+    return copy;
+  }
+
   void moveTo(@Nullable TargetSlot next) {
     if (target == next) {
       return;
@@ -88,9 +94,7 @@
 
     void hold(ByteBuffer datagram, int limit) {
       if (held.size() < limit) {
-        byte[] copy = new byte[datagram.remaining()];
-        datagram.get(datagram.position(), copy);
-        held.add(copy);
+        held.add(copyOf(datagram));
       }
     }
   }
--- /dev/null
+++ b/core/src/main/java/io/moorstage/core/transparent/BalancerTables.java
@@ -0,0 +1,177 @@
+package io.moorstage.core.transparent;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import javax.annotation.Nullable;
+
+/**
+ * What the parts of a balancer share: the state, the targets, the agents heard from and the flows.
+ * Guarded by the lock of {@link FlowBalancer}.
+ */
+final class BalancerTables {
+  private final ForwardingPolicy policy;
+  private final BalancerActions actions;
+  private final long startedAtMs;
+  private final Map<FlowId, BalancerFlow> flows = new HashMap<>();
+  private final Map<Integer, HeardAgent> heardAgents = new HashMap<>();
+  private TargetPools pools = TargetPools.EMPTY;
+  private FleetState state = FleetState.EMPTY;
+  private long stateAtMs;
+
+  /** An agent that has told of itself, whether or not the source lists its target. */
+  record HeardAgent(String service, TargetSlot slot, long heardAtMs) {}
+
+  BalancerTables(ForwardingPolicy policy, BalancerActions actions, long nowMs) {
+    this.policy = policy;
+    this.actions = actions;
+    this.startedAtMs = nowMs;
+  }
+
+  void takeState(FleetState newer, long nowMs) {
+    state = newer;
+    stateAtMs = nowMs;
+    pools = pools.update(newer, nowMs);
+  }
+
+  ForwardingConfiguration configuration() {
+    return state.configuration();
+  }
+
+  long startedAtMs() {
+    return startedAtMs;
+  }
+
+  long ageOfState(long nowMs) {
+    return nowMs - stateAtMs;
+  }
+
+  @Nullable
+  TargetPool poolOf(String service) {
+    return pools.ofService(service);
+  }
+
+  Iterable<TargetSlot> slots() {
+    return pools.slots();
+  }
+
+  // ---- agents ----
+
+  /** Notes a beacon; returns whether the agent was silent before. */
+  boolean hear(int agentAddress, String service, boolean stopping, long nowMs) {
+    HeardAgent known = heardAgents.get(agentAddress);
+    boolean same = known != null && known.service().equals(service);
+    TargetSlot slot = same ? known.slot() : unlistedSlot(agentAddress, service, nowMs);
+    boolean appeared = !isAgentHeard(agentAddress, nowMs);
+    long heardAtMs = stopping ? Long.MIN_VALUE / 2 : nowMs;
+    heardAgents.put(agentAddress, new HeardAgent(service, slot, heardAtMs));
+    return appeared && !stopping;
+  }
+
+  private static TargetSlot unlistedSlot(int agentAddress, String service, long nowMs) {
+    String id = "agent-" + Integer.toHexString(agentAddress);
+    return new TargetSlot(
+        new TargetRecord(id, service, agentAddress, "", 1, TargetPhase.GONE, 0, 0), nowMs);
+  }
+
+  @Nullable
+  HeardAgent heardAgent(int agentAddress) {
+    return heardAgents.get(agentAddress);
+  }
+
+  Collection<HeardAgent> heardAgents() {
+    return heardAgents.values();
+  }
+
+  /** Returns whether agents have been heard from before, and none of them within some time. */
+  boolean hasLostAllAgents(int periodMs, long nowMs) {
+    for (HeardAgent agent : heardAgents.values()) {
+      if (nowMs - agent.heardAtMs() <= periodMs) {
+        return false;
+      }
+    }
+    return !heardAgents.isEmpty();
+  }
+
+  boolean isAgentHeard(int agentAddress, long nowMs) {
+    HeardAgent agent = heardAgents.get(agentAddress);
+    return agent != null && nowMs - agent.heardAtMs() <= policy.agentSilenceMs();
+  }
+
+  // ---- flows ----
+
+  @Nullable
+  BalancerFlow flow(FlowId id) {
+    return flows.get(id);
+  }
+
+  int flowCount() {
+    return flows.size();
+  }
+
+  void add(BalancerFlow flow) {
+    flows.put(flow.id, flow);
+  }
+
+  void forget(BalancerFlow flow) {
+    flow.moveTo(null);
+    flows.remove(flow.id);
+  }
+
+  void send(BalancerFlow flow, TargetSlot target, ByteBuffer datagram) {
+    ForwardingConfiguration configuration = state.configuration();
+    ForwardingRoute route = configuration.routeOf(flow.id);
+    int timeoutMs = route == null ? 0 : route.timeoutMs();
+    actions.forward(target.address(), flow.service, configuration.version(), timeoutMs, datagram);
+  }
+
+  /** Returns the pools that may hold a flow: any service that its route shares flows among. */
+  List<TargetPool> poolsOf(BalancerFlow flow) {
+    List<TargetPool> found = new ArrayList<>(1);
+    ForwardingRoute route = state.configuration().routeOf(flow.id);
+    if (route == null) {
+      TargetPool pool = pools.ofService(flow.service);
+      if (pool != null) {
+        found.add(pool);
+      }
+      return found;
+    }
+    for (WeightedService part : route.services()) {
+      TargetPool pool = pools.ofService(part.service());
+      if (pool != null) {
+        found.add(pool);
+      }
+    }
+    return found;
+  }
+
+  /** Returns the target of a flow's services at an address, or null if none is known there. */
+  @Nullable
+  TargetSlot slotAt(BalancerFlow flow, int address) {
+    for (TargetPool pool : poolsOf(flow)) {
+      TargetSlot slot = pool.at(address);
+      if (slot != null) {
+        return slot;
+      }
+    }
+    HeardAgent agent = heardAgents.get(address);
+    return agent == null ? null : agent.slot();
+  }
+
+  /** Forgets flows that have ended or rested for long, and agents that have long been silent. */
+  void sweep(long nowMs) {
+    for (Iterator<BalancerFlow> all = flows.values().iterator(); all.hasNext(); ) {
+      BalancerFlow flow = all.next();
+      int memoryMs = flow.closed ? policy.closedLingerMs() : policy.flowMemoryMs();
+      if (flow.location == null && nowMs - flow.lastUsedMs > memoryMs) {
+        flow.moveTo(null);
+        all.remove();
+      }
+    }
+    heardAgents.values().removeIf(agent -> nowMs - agent.heardAtMs() > policy.goneMemoryMs());
+  }
+}
--- a/core/src/main/java/io/moorstage/core/transparent/FlowAgent.java
+++ b/core/src/main/java/io/moorstage/core/transparent/FlowAgent.java
@@ -159,7 +159,7 @@
       return false;
     }
     flow.waiting = new ArrayList<>(1);
-    flow.waiting.add(copyOf(datagram));
+    flow.waiting.add(BalancerFlow.copyOf(datagram));
     waitingFlows++;
     gate.add(flow, isKnownToBeNew(flow, nowMs), nowMs);
     return true;
@@ -175,7 +175,7 @@
     }
     boolean isNew = segment.kind() == Segment.Kind.CLOSE || noteClientData(flow, segment);
     if (isNew && flow.waiting.size() < MAX_WAITING_SEGMENTS) {
-      flow.waiting.add(copyOf(datagram));
+      flow.waiting.add(BalancerFlow.copyOf(datagram));
     }
     return true;
   }
@@ -249,7 +249,7 @@
       }
       flow = new AgentFlow(segment.flow(), AgentFlow.Stage.OPENING, balancerAddress, nowMs);
       flow.openCopy = segment.copy();
-      flow.openSegment = copyOf(datagram);
+      flow.openSegment = BalancerFlow.copyOf(datagram);
       flows.put(flow.id, flow);
       opening.add(flow);
     }
@@ -259,12 +259,6 @@
     actions.deliver(datagram);
   }
 
-  private static byte[] copyOf(ByteBuffer datagram) {
-    byte[] copy = new byte[datagram.remaining()];
-    datagram.get(datagram.position(), copy);
-    return copy;
-  }
-
   private void giveBack(
       int balancerAddress, ReturnReason reason, Segment segment, ByteBuffer datagram) {
     log.decided(Decision.GAVE_BACK, segment.flow(), balancerAddress, reason.name(), -1);
