--- a/core/src/main/java/io/moorstage/core/transparent/FlowAgent.java
+++ b/core/src/main/java/io/moorstage/core/transparent/FlowAgent.java
@@ -16,7 +16,7 @@
 public final class FlowAgent {
   private static final int MAX_WAITING_SEGMENTS = 16;
   private static final int JUST_OPENED_MS = 150;
-  private static final double MIN_TIMEOUT_IN_WAITS = 2.5;
+  private static final double MIN_TIMEOUT_IN_WAITS = 2.0;
 
   private final ForwardingPolicy policy;
   private final String service;
