--- a/core/src/main/java/io/moorstage/core/membership/MemberSession.java
+++ b/core/src/main/java/io/moorstage/core/membership/MemberSession.java
@@ -337,6 +337,10 @@
 
   private void onLeaderHint(LeaderHint hint, long now) {
     boolean changed = voters.onHint(hint);
+    if (changed) {
+      // The silence was another leader's.
+      silentTries = 0;
+    }
     if (changed && !holdsLease(now)) {
       sendHeartbeat(now);
     } else if (changed) {
--- a/core/src/test/java/io/moorstage/core/agreement/GroupTest.java
+++ b/core/src/test/java/io/moorstage/core/agreement/GroupTest.java
@@ -17,6 +17,9 @@
 class GroupTest {
   private static final long SECOND = 1_000 * SimulatedGroup.MILLIS;
 
+  /** The leader's lease of 2 s, an election, and a round trip to each member. */
+  private static final long LEASES_AFTER_LEADER_LOSS = 3_500 * SimulatedGroup.MILLIS;
+
   private static ProposeConfiguration change(String id, long expectedVersion) {
     Configuration compiled = new Configuration(0, id.hashCode(), List.of());
     return new ProposeConfiguration(id, "operator", expectedVersion, compiled, id);
@@ -108,6 +111,32 @@
         .isEqualTo(term);
   }
 
+  @ParameterizedTest
+  @ValueSource(longs = {21, 22, 23, 24, 25, 26, 27, 28, 29, 30})
+  void membersHoldLeasesOfTheNewLeaderSoonAfterTheOldOneIsLost(long seed) {
+    SimulatedGroup group = new SimulatedGroup(seed, 3, 12);
+    group.runUntil("leases", 10 * SECOND, group::allLeasedOnNewest);
+    SimulatedGroup.Node old = group.leader();
+    old.stop();
+    group.runUntil(
+        "all that are left hold a lease of another leader",
+        LEASES_AFTER_LEADER_LOSS,
+        () -> group.allUpLeasedByAnotherThan(old));
+  }
+
+  @Test
+  void membersHoldLeasesOfTheNewLeaderSoonThoughMessagesAreLost() {
+    SimulatedGroup group = new SimulatedGroup(31, 3, 12);
+    group.runUntil("leases", 10 * SECOND, group::allLeasedOnNewest);
+    SimulatedGroup.Node old = group.leader();
+    group.lossRate = 0.1;
+    old.stop();
+    group.runUntil(
+        "all that are left hold a lease of another leader",
+        LEASES_AFTER_LEADER_LOSS,
+        () -> group.allUpLeasedByAnotherThan(old));
+  }
+
   @Test
   void voterThatMissesOnlyTheLeaderElectsNobody() {
     SimulatedGroup group = new SimulatedGroup(9, 3, 1);
--- a/core/src/test/java/io/moorstage/core/agreement/SimulatedGroup.java
+++ b/core/src/test/java/io/moorstage/core/agreement/SimulatedGroup.java
@@ -180,6 +180,21 @@
     return leader.replica.clusterState().members().size() == nodes.size();
   }
 
+  /** Returns whether each daemon that is up holds a lease of one leader other than a given one. */
+  boolean allUpLeasedByAnotherThan(Node old) {
+    Node leader = leader();
+    if (leader == null || leader == old) {
+      return false;
+    }
+    for (Node node : nodes) {
+      boolean follows = endpoint(leader.index).equals(node.session.leader());
+      if (node.isUp() && !(follows && node.session.holdsLease(node.clock()))) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   /** Voters as the leader has them are all up, and this many. */
   boolean hasFullVoters(int count) {
     Node leader = leader();
