Let members that have lost their leader ask all voters at once

Cause, from the logs of a failed run: after three silent tries a member asks one voter at a time, the lost one included, with pauses of up to 3 s. Two of six members were still without a lease 5 s after the election.

Change: without a leader, a heartbeat goes to all voters, and the pause is at most one and a half heartbeats (0.75 s).

--- a/core/src/main/java/io/moorstage/core/agreement/LeaseTable.java
+++ b/core/src/main/java/io/moorstage/core/agreement/LeaseTable.java
@@ -64,11 +64,6 @@
     return members;
   }
 
-  /** Returns whether a member has been heard by this leader and not been silent for long since. */
-  public boolean hasHeard(MemberKey member) {
-    return rows.containsKey(member);
-  }
-
   /** Returns for how long a member has been silent, given since when it could have been heard. */
   public long silentNanos(MemberKey member, long listeningSinceNanos, long nowNanos) {
     Row row = rows.get(member);
--- a/core/src/main/java/io/moorstage/core/agreement/MemberService.java
+++ b/core/src/main/java/io/moorstage/core/agreement/MemberService.java
@@ -32,12 +32,6 @@
 
   private static final int EXPIRY_CHECKS_PER_TIMEOUT = 8;
 
-  /** Greetings sent at a tick, so that a new leader's first moments do not fill its link. */
-  private static final int GREETINGS_PER_TICK = 100;
-
-  /** Rounds of greetings; a datagram may be lost, and a member may still be silent. */
-  private static final int GREETING_ROUNDS = 4;
-
   private final ReplicaContext context;
   private final LeaderState leader;
   private final StateRestorer restorer;
@@ -50,10 +44,6 @@
   private List<MemberRegistration> indexed = List.of();
   private long nextBatchNanos;
   private long nextExpiryCheckNanos;
-  private List<MemberRegistration> greeted = List.of();
-  private int nextGreeted;
-  private int greetingRounds;
-  private long nextRoundNanos;
 
   MemberService(ReplicaContext context, LeaderState leader, long now) {
     this.context = context;
@@ -62,7 +52,6 @@
     this.startedNanos = now;
     this.nextBatchNanos = now;
     this.nextExpiryCheckNanos = now;
-    this.nextRoundNanos = now;
   }
 
   boolean isRestoring(long now) {
@@ -158,7 +147,6 @@
     if (!leader.isReady(now) || !leader.holdsLeaderLease(now)) {
       return;
     }
-    greetMembers(now);
     if (now - nextBatchNanos >= 0) {
       nextBatchNanos = now + context.settings.batchDelayNanos();
       proposeBatches(now);
@@ -171,32 +159,6 @@
     }
   }
 
-  // Members that have lost their leader look for another with growing pauses, seconds long in the
-  // end. A new leader knows them from the state, and is found sooner if it calls on them itself.
-  private void greetMembers(long now) {
-    if (nextGreeted == greeted.size() && !startGreetingRound(now)) {
-      return;
-    }
-    int end = Math.min(greeted.size(), nextGreeted + GREETINGS_PER_TICK);
-    for (; nextGreeted < end; nextGreeted++) {
-      MemberRegistration member = greeted.get(nextGreeted);
-      if (!leases.hasHeard(member.key())) {
-        context.sendLeaderHint(member.endpoint());
-      }
-    }
-  }
-
-  private boolean startGreetingRound(long now) {
-    if (greetingRounds == GREETING_ROUNDS || now - nextRoundNanos < 0) {
-      return false;
-    }
-    greetingRounds++;
-    nextRoundNanos = now + context.settings.heartbeatIntervalNanos();
-    greeted = List.copyOf(members().values());
-    nextGreeted = 0;
-    return true;
-  }
-
   private void proposeBatches(long now) {
     if (!joining.isEmpty()) {
       List<MemberRegistration> batch = new ArrayList<>();
--- a/core/src/main/java/io/moorstage/core/agreement/ReplicaContext.java
+++ b/core/src/main/java/io/moorstage/core/agreement/ReplicaContext.java
@@ -81,7 +81,12 @@
 
   /** Sends who leads, to somebody who asked the wrong replica. */
   void sendLeaderHint(Endpoint destination) {
-    send(destination, new LeaderHint(formationId, currentTerm, leader, voterEndpoints()));
+    // Without a log, this replica knows of the group by hearsay. If that was passed on, replicas
+    // could keep each other believing in a group that is gone, and never form another.
+    boolean hearsay = log.lastIndex() == 0;
+    long knownFormation = hearsay ? 0 : formationId;
+    Endpoint knownLeader = hearsay ? null : leader;
+    send(destination, new LeaderHint(knownFormation, currentTerm, knownLeader, voterEndpoints()));
   }
 
   List<VoterId> voters() {
--- a/core/src/main/java/io/moorstage/core/agreement/UnformedState.java
+++ b/core/src/main/java/io/moorstage/core/agreement/UnformedState.java
@@ -168,7 +168,9 @@
 
   @Override
   void onLeaderHint(LeaderHint hint, long now) {
-    if (proposal == null && hint.formationId() != 0) {
+    // Without a leader, the sender may know of the group by hearsay only, and the group be gone;
+    // probes tell whether a voter holds anything of it.
+    if (proposal == null && hint.formationId() != 0 && hint.leader() != null) {
       becomeLearner(hint.formationId(), hint.leader(), now);
     }
   }
--- a/core/src/main/java/io/moorstage/core/membership/MemberSession.java
+++ b/core/src/main/java/io/moorstage/core/membership/MemberSession.java
@@ -196,12 +196,22 @@
   private void sendHeartbeat(long now) {
     Heartbeat heartbeat =
         new Heartbeat(registration.nodeId(), registration.incarnation(), state.version(), now);
-    Endpoint voter = voters.nextAsked();
-    sender.send(voter, heartbeat);
-    if (draining) {
-      askToDrain(voter);
+    // Asked one after the other, voters that are gone would each cost a pause.
+    for (Endpoint voter : voters.allAsked()) {
+      sender.send(voter, heartbeat);
+      if (draining) {
+        askToDrain(voter);
+      }
     }
-    nextHeartbeatNanos = now + backoff(silentTries);
+    long wait = backoff(silentTries);
+    // A new leader is there within a lease; a longer pause would be time without a lease.
+    boolean searching = voters.leader() == null;
+    nextHeartbeatNanos = now + (searching ? Math.min(wait, searchPause()) : wait);
+  }
+
+  private long searchPause() {
+    long pause = settings.heartbeatIntervalNanos();
+    return pause / 2 + random.nextLong(pause);
   }
 
   /**
--- a/core/src/main/java/io/moorstage/core/membership/VoterDirectory.java
+++ b/core/src/main/java/io/moorstage/core/membership/VoterDirectory.java
@@ -55,6 +55,11 @@
     return voters.get(nextIndex);
   }
 
+  /** Returns the leader alone, or else all voters: one of them knows the leader, or leads. */
+  public List<Endpoint> allAsked() {
+    return leader == null ? List.copyOf(voters) : List.of(leader);
+  }
+
   /** Returns any voter, for what each of them can answer. */
   public Endpoint anyVoter() {
     return voters.get(random.nextInt(voters.size()));
