Start with less processor time, and take agents for targets where few are listed

Change: for 1.5 s after its first state a balancer takes agents that it hears for targets if they outnumber those that the source lists; an agent that knows its target to be leaving still gives back what it gets. Targets rank by address, so that a flow is looked for in the same order before and after its target is listed. A target that has taken the address of another counts once. Agents send beacons every 100 ms for 1.5 s after their start.

--- a/core/src/main/java/io/moorstage/core/transparent/BalancerTables.java
+++ b/core/src/main/java/io/moorstage/core/transparent/BalancerTables.java
@@ -14,6 +14,13 @@
  * Guarded by the lock of {@link FlowBalancer}.
  */
 final class BalancerTables {
+  /**
+   * What an agent's target is taken to work on at a time as long as the source does not list it.
+   */
+  private static final int UNLISTED_CAPACITY = 4;
+
+  private static final long NEVER = Long.MIN_VALUE / 2;
+
   private final ForwardingPolicy policy;
   private final BalancerActions actions;
   private final long startedAtMs;
@@ -22,6 +29,7 @@
   private TargetPools pools = TargetPools.EMPTY;
   private FleetState state = FleetState.EMPTY;
   private long stateAtMs;
+  private long firstStateAtMs = NEVER;
 
   /** An agent that has told of itself, whether or not the source lists its target. */
   record HeardAgent(String service, TargetSlot slot, long heardAtMs) {}
@@ -35,6 +43,9 @@
   void takeState(FleetState newer, long nowMs) {
     state = newer;
     stateAtMs = nowMs;
+    if (firstStateAtMs == NEVER && newer.configuration().version() > 0) {
+      firstStateAtMs = nowMs;
+    }
     pools = pools.update(newer, nowMs);
   }
 
@@ -59,6 +70,45 @@
     return pools.slots();
   }
 
+  /**
+   * Returns the targets that may take a new flow of a service, or null if none is known.
+   *
+   * <p>A source that was down forgets targets that could not renew their entries, and lists them
+   * one by one when it is back. A balancer that starts just then would send all flows to the few
+   * that are listed; the agents beside the others tell that they are there. An agent that knows its
+   * target to be leaving gives back what it gets.
+   */
+  @Nullable
+  TargetPool candidatesOf(String service, long nowMs) {
+    TargetPool listed = pools.ofService(service);
+    if (nowMs - firstStateAtMs > policy.unlistedMs()) {
+      return listed;
+    }
+    List<TargetSlot> unlisted = unlistedOf(service, listed, nowMs);
+    int ready = listed == null ? 0 : listed.readyCount();
+    // One or two agents may be beside targets that are about to end; most of them are not.
+    if (unlisted.size() <= ready) {
+      return listed;
+    }
+    List<TargetSlot> slots = new ArrayList<>(unlisted);
+    if (listed != null) {
+      slots.addAll(listed.slots());
+    }
+    return new TargetPool(service, slots);
+  }
+
+  private List<TargetSlot> unlistedOf(String service, @Nullable TargetPool listed, long nowMs) {
+    List<TargetSlot> unlisted = new ArrayList<>();
+    for (HeardAgent agent : heardAgents.values()) {
+      int address = agent.slot().address();
+      boolean isListed = listed != null && listed.at(address) != null;
+      if (agent.service().equals(service) && !isListed && isAgentHeard(address, nowMs)) {
+        unlisted.add(agent.slot());
+      }
+    }
+    return unlisted;
+  }
+
   // ---- agents ----
 
   /** Notes a beacon; returns whether the agent was silent before. */
@@ -75,7 +125,8 @@
   private static TargetSlot unlistedSlot(int agentAddress, String service, long nowMs) {
     String id = "agent-" + Integer.toHexString(agentAddress);
     return new TargetSlot(
-        new TargetRecord(id, service, agentAddress, "", 1, TargetPhase.GONE, 0, 0), nowMs);
+        new TargetRecord(id, service, agentAddress, "", UNLISTED_CAPACITY, TargetPhase.READY, 0, 0),
+        nowMs);
   }
 
   @Nullable
--- a/core/src/main/java/io/moorstage/core/transparent/FlowBalancer.java
+++ b/core/src/main/java/io/moorstage/core/transparent/FlowBalancer.java
@@ -40,7 +40,7 @@
   /** Takes a newer state. */
   public synchronized void onState(FleetState newer, long nowMs) {
     tables.takeState(newer, nowMs);
-    opener.onState(nowMs);
+    opener.onTargets(nowMs);
     if (newer.configuration().version() > 0) {
       handleEarlySegments(nowMs);
     }
@@ -71,19 +71,26 @@
    */
   public synchronized void onAgent(
       int agentAddress, String service, int busyFlows, boolean stopping, long nowMs) {
-    if (tables.hear(agentAddress, service, stopping, nowMs)) {
-      TargetSlot slot = tables.heardAgent(agentAddress).slot();
-      locator.askAgentForLocatingFlows(slot, service, nowMs);
-    }
+    boolean appeared = tables.hear(agentAddress, service, stopping, nowMs);
+    TargetSlot unlisted = tables.heardAgent(agentAddress).slot();
+    report(unlisted, busyFlows, stopping, nowMs);
     for (TargetSlot slot : tables.slots()) {
       if (slot.address() == agentAddress && slot.record().phase() != TargetPhase.GONE) {
-        slot.reportBusy(busyFlows, nowMs);
-        slot.hear(nowMs);
-        if (stopping) {
-          slot.leave(policy.suspicionMs(), nowMs);
-        }
+        report(slot, busyFlows, stopping, nowMs);
       }
     }
+    if (appeared) {
+      locator.askAgentForLocatingFlows(unlisted, service, nowMs);
+      opener.onTargets(nowMs);
+    }
+  }
+
+  private void report(TargetSlot slot, int busyFlows, boolean stopping, long nowMs) {
+    slot.reportBusy(busyFlows, nowMs);
+    slot.hear(nowMs);
+    if (stopping) {
+      slot.leave(policy.suspicionMs(), nowMs);
+    }
   }
 
   /** Returns whether agents have been heard from before, and none of them within some time. */
--- a/core/src/main/java/io/moorstage/core/transparent/FlowOpener.java
+++ b/core/src/main/java/io/moorstage/core/transparent/FlowOpener.java
@@ -38,8 +38,8 @@
     confirmedUntilMs = untilMs;
   }
 
-  /** Opens the flows that have waited for what a newer state brings. */
-  void onState(long nowMs) {
+  /** Opens the flows that have waited for a newer state or for a target. */
+  void onTargets(long nowMs) {
     List<WaitingOpen> waiting = new ArrayList<>(waitingOpens);
     waitingOpens.clear();
     for (WaitingOpen open : waiting) {
@@ -55,7 +55,7 @@
   private boolean hasTarget(Segment segment, long nowMs) {
     ForwardingRoute route = tables.configuration().routeOf(segment.flow());
     String service = route == null ? null : route.serviceOf(segment.flow());
-    TargetPool pool = service == null ? null : tables.poolOf(service);
+    TargetPool pool = service == null ? null : tables.candidatesOf(service, nowMs);
     return pool != null && pool.choose(segment.flow(), List.of(), nowMs) != null;
   }
 
@@ -94,7 +94,7 @@
   }
 
   private boolean hasOther(BalancerFlow flow, long nowMs) {
-    TargetPool pool = tables.poolOf(flow.service);
+    TargetPool pool = tables.candidatesOf(flow.service, nowMs);
     List<TargetSlot> excluded = new ArrayList<>(flow.tried);
     excluded.add(flow.target);
     boolean mayRepeatHere = flow.target.record().phase() == TargetPhase.READY;
@@ -122,7 +122,7 @@
 
   private void place(
       BalancerFlow flow, Segment segment, ByteBuffer datagram, String reason, long nowMs) {
-    TargetPool pool = tables.poolOf(flow.service);
+    TargetPool pool = tables.candidatesOf(flow.service, nowMs);
     TargetSlot chosen = pool == null ? null : pool.choose(flow.id, flow.tried, nowMs);
     if (chosen == null) {
       refuse(flow, segment, datagram, nowMs);
@@ -188,8 +188,9 @@
       return;
     }
     flow.unreturnedOpens--;
-    TargetPool pool = tables.poolOf(flow.service);
-    TargetSlot refusing = pool == null ? null : pool.at(agentAddress);
+    boolean placedThere = flow.target != null && flow.target.address() == agentAddress;
+    // The source may list the target only since the segment was sent.
+    TargetSlot refusing = placedThere ? flow.target : tables.slotAt(flow, agentAddress);
     if (refusing != null) {
       if (!flow.tried.contains(refusing)) {
         flow.tried.add(refusing);
@@ -201,7 +202,7 @@
       }
     }
     // Another copy may have been placed elsewhere meanwhile.
-    if (flow.target == null || flow.target == refusing) {
+    if (flow.target == null || placedThere) {
       place(flow, segment, datagram, reason.name(), nowMs);
     }
   }
--- a/core/src/main/java/io/moorstage/core/transparent/ForwardingPolicy.java
+++ b/core/src/main/java/io/moorstage/core/transparent/ForwardingPolicy.java
@@ -11,6 +11,8 @@
  * @param openWaitMs how long a new flow waits while its service has no target
  * @param learnMs for how long a balancer that has started hears of agents before it takes their
  *     answers for complete
+ * @param unlistedMs for how long after its first state a balancer takes agents that the source does
+ *     not list for targets, where those make up most of a service
  * @param agentSilenceMs after how long without a beacon an agent's machine counts as away
  * @param requestTurnMs how long a request waits for a target that is at its limit before it gets a
  *     turn before newer ones
@@ -31,6 +33,7 @@
     int maxHeldSegments,
     int openWaitMs,
     int learnMs,
+    int unlistedMs,
     int agentSilenceMs,
     int requestTurnMs,
     int requestWaitMs,
@@ -44,6 +47,6 @@
   /** Values for a deployment whose flows live up to a minute. */
   public static final ForwardingPolicy STANDARD =
       new ForwardingPolicy(
-          40, 1_400, 150, 30, 4, 400, 1_200, 1_800, 350, 900, 900, 80, 1_000, 5_000, 65_000,
+          40, 1_400, 150, 30, 4, 400, 1_200, 1_500, 1_800, 350, 900, 900, 80, 1_000, 5_000, 65_000,
           70_000);
 }
--- a/core/src/main/java/io/moorstage/core/transparent/TargetPool.java
+++ b/core/src/main/java/io/moorstage/core/transparent/TargetPool.java
@@ -1,7 +1,9 @@
 package io.moorstage.core.transparent;
 
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import javax.annotation.Nullable;
 
 /**
@@ -14,9 +16,19 @@
   private final String service;
   private final List<TargetSlot> slots;
 
+  /** At each address the newest target; those before it have ended, listed or not. */
+  private final Map<Integer, TargetSlot> newestByAddress = new LinkedHashMap<>();
+
   TargetPool(String service, List<TargetSlot> slots) {
     this.service = service;
     this.slots = List.copyOf(slots);
+    for (TargetSlot slot : slots) {
+      newestByAddress.merge(slot.address(), slot, TargetPool::newerOf);
+    }
+  }
+
+  private static TargetSlot newerOf(TargetSlot known, TargetSlot other) {
+    return other.record().revision() > known.record().revision() ? other : known;
   }
 
   /** Returns the service's name. */
@@ -29,17 +41,21 @@
     return slots;
   }
 
+  /** Returns how many targets take new flows as far as the source tells. */
+  int readyCount() {
+    int count = 0;
+    for (TargetSlot slot : newestByAddress.values()) {
+      if (slot.record().phase() == TargetPhase.READY) {
+        count++;
+      }
+    }
+    return count;
+  }
+
   /** Returns the target at an address, the newest one if several were there; null if none. */
   @Nullable
   TargetSlot at(int address) {
-    TargetSlot found = null;
-    for (TargetSlot slot : slots) {
-      boolean newer = found == null || slot.record().revision() > found.record().revision();
-      if (slot.address() == address && newer) {
-        found = slot;
-      }
-    }
-    return found;
+    return newestByAddress.get(address);
   }
 
   /**
@@ -63,8 +79,8 @@
     long flowHash = flow.hash();
     TargetSlot first = null;
     TargetSlot second = null;
-    for (TargetSlot slot : slots) {
-      if (slot.record().phase() != TargetPhase.READY || tried.contains(slot)) {
+    for (TargetSlot slot : newestByAddress.values()) {
+      if (slot.record().phase() != TargetPhase.READY || isAmong(tried, slot.address())) {
         continue;
       }
       if (slot.isSuspect(nowMs) && !suspectsToo) {
@@ -83,6 +99,15 @@
     return weightedLoad(second, nowMs) < weightedLoad(first, nowMs) ? second : first;
   }
 
+  private static boolean isAmong(List<TargetSlot> tried, int address) {
+    for (TargetSlot slot : tried) {
+      if (slot.address() == address) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   private static boolean ranksHigher(TargetSlot slot, TargetSlot other, long flowHash) {
     return Long.compareUnsigned(slot.rank(flowHash), other.rank(flowHash)) > 0;
   }
--- a/core/src/main/java/io/moorstage/core/transparent/TargetSlot.java
+++ b/core/src/main/java/io/moorstage/core/transparent/TargetSlot.java
@@ -23,18 +23,12 @@
 
   TargetSlot(TargetRecord record, long nowMs) {
     this.record = record;
-    this.hash = FlowId.mix(hashOf(record.id()));
+    // By the address, since a node that has lost its memory may know the agent there before the
+    // source lists the target, and has to find the flows of both at the same rank.
+    this.hash = FlowId.mix(record.address());
     this.coldUntilMs = nowMs + record.slowStartMs();
   }
 
-  private static long hashOf(String id) {
-    long hash = 1;
-    for (int i = 0; i < id.length(); i++) {
-      hash = hash * 31 + id.charAt(i);
-    }
-    return hash;
-  }
-
   /** Returns the newest record. */
   public TargetRecord record() {
     return record;
--- a/core/src/test/java/io/moorstage/core/transparent/FlowBalancerTest.java
+++ b/core/src/test/java/io/moorstage/core/transparent/FlowBalancerTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.List;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -118,6 +119,115 @@
     assertThat(actions.forwardedTo).containsExactly(A);
   }
 
+  @Test
+  void balancerThatHasJustStartedUsesAgentsThatTheSourceDoesNotListYet() {
+    takeState(Fleet.state(5, Fleet.target(A, TargetPhase.READY, 1)));
+    hear(A, B, C);
+    for (int port = 1; port <= 100; port++) {
+      client(Fleet.open(Fleet.flow(port), 0));
+    }
+    assertThat(actions.forwardedTo).containsAtLeast(A, B, C);
+  }
+
+  @Test
+  void balancerThatHasRunForAWhileUsesNoAgentThatTheSourceDoesNotList() {
+    takeState(Fleet.state(5, Fleet.target(A, TargetPhase.READY, 1)));
+    nowMs += Fleet.POLICY.unlistedMs() + 1;
+    hear(A, B, C);
+    for (int port = 1; port <= 100; port++) {
+      client(Fleet.open(Fleet.flow(port), 0));
+    }
+    assertThat(actions.forwardedTo).doesNotContain(B);
+    assertThat(actions.forwardedTo).doesNotContain(C);
+  }
+
+  @Test
+  void agentsThatAreNotListedAreNotUsedWhereMostTargetsAre() {
+    takeState(
+        Fleet.state(
+            5, Fleet.target(A, TargetPhase.READY, 1), Fleet.target(B, TargetPhase.READY, 2)));
+    hear(A, B, C);
+    for (int port = 1; port <= 100; port++) {
+      client(Fleet.open(Fleet.flow(port), 0));
+    }
+    assertThat(actions.forwardedTo).doesNotContain(C);
+  }
+
+  @Test
+  void agentOfATargetThatIsKnownToBeLeavingIsNotUsed() {
+    takeState(Fleet.state(5, Fleet.target(A, TargetPhase.DRAINING, 1)));
+    hear(A, B, C);
+    for (int port = 1; port <= 100; port++) {
+      client(Fleet.open(Fleet.flow(port), 0));
+    }
+    assertThat(actions.forwardedTo).hasSize(100);
+    assertThat(actions.forwardedTo).doesNotContain(A);
+  }
+
+  @Test
+  void newFlowThatWaitsForATargetIsServedWhenAnAgentIsHeard() {
+    takeState(Fleet.state(5));
+    client(Fleet.open(Fleet.flow(1), 0));
+    nowMs += 100;
+    hear(B);
+    assertThat(actions.forwardedTo).containsExactly(B);
+  }
+
+  @Test
+  void flowRefusedByATargetThatHasBeenListedMeanwhileGoesToAnother() {
+    takeState(Fleet.state(5));
+    hear(B, C);
+    Segment open = Fleet.open(Fleet.flow(1), 0);
+    client(open);
+    int first = actions.last();
+    takeState(
+        Fleet.state(
+            7, Fleet.target(B, TargetPhase.READY, 6), Fleet.target(C, TargetPhase.READY, 7)));
+    givenBack(first, ReturnReason.FULL, 1, open);
+    assertThat(actions.last()).isNotEqualTo(first);
+  }
+
+  @Test
+  void targetThatHasTakenTheAddressOfAnotherIsNoSecondChoiceBesideIt() {
+    TargetRecord before =
+        new TargetRecord("before", Fleet.SERVICE, A, "z", 2, TargetPhase.READY, 0, 1);
+    TargetRecord now = new TargetRecord("now", Fleet.SERVICE, A, "z", 2, TargetPhase.READY, 0, 9);
+    takeState(Fleet.state(9, before, now, Fleet.target(B, TargetPhase.READY, 2)));
+    Segment open = Fleet.open(Fleet.flow(1), 0);
+    client(open);
+    int first = actions.last();
+    givenBack(first, ReturnReason.FULL, 1, open);
+    givenBack(actions.last(), ReturnReason.FULL, 1, open);
+    assertThat(actions.forwardedTo).containsExactly(A, B);
+  }
+
+  @Test
+  void flowIsLookedForInTheSameOrderWhetherOrNotItsTargetsAreListed() {
+    FleetState all = threeTargets();
+    for (int port = 1; port <= 20; port++) {
+      List<Integer> listed = offersOfALostFlow(all, Fleet.flow(port));
+      List<Integer> unlisted = offersOfALostFlow(Fleet.state(5), Fleet.flow(port));
+      assertThat(unlisted).containsExactlyElementsIn(listed).inOrder();
+    }
+  }
+
+  /** Returns where a restarted balancer offers a segment, among agents that have restarted too. */
+  private List<Integer> offersOfALostFlow(FleetState known, FlowId flow) {
+    start();
+    actions.forwardedTo.clear();
+    takeState(known);
+    hear(A, B, C);
+    Segment segment = Fleet.data(flow, 501, 10);
+    client(segment);
+    for (int agent : new int[] {A, B, C}) {
+      balancer.onKnowledge(agent, flow, FlowKnowledge.UNKNOWN, agent, nowMs);
+    }
+    for (int offer = 0; offer < 3; offer++) {
+      givenBack(actions.last(), ReturnReason.NOT_HELD, 1, segment);
+    }
+    return List.copyOf(actions.forwardedTo);
+  }
+
   @Test
   void newFlowWithoutATargetIsResetWhenTheWaitIsOver() {
     takeState(Fleet.state(5));
--- a/forwarding/src/main/java/io/moorstage/forwarding/AgentDaemon.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/AgentDaemon.java
@@ -18,6 +18,9 @@
 public final class AgentDaemon implements ForwardingDaemon {
   private static final int TICK_MS = 20;
   private static final int BEACON_MS = 500;
+  private static final int ENDPOINTS_AFTER_MS = 250;
+  private static final int FIRST_BEACONS_MS = 100;
+  private static final int FIRST_BEACONS_FOR_MS = 1_500;
   private static final int LOAD_REPORT_MS = 100;
   private static final int SWEEP_MS = 1_000;
   private static final int COPY_INTERVAL_MS = 1_000;
@@ -66,10 +69,14 @@
     peerPort = UdpPort.bind(Endpoint.of(settings.address(), settings.peerPort()));
     targetPort.start("target-segments", this::onTargetDatagram, log);
     peerPort.start("peer-messages", this::onPeerDatagram, log);
-    HttpEndpoint.start(settings.readiness(), "/", () -> stopping ? null : EMPTY_BODY);
     reload(settings);
     sendBeacons(MonotonicClock.nowMs());
     fetcher.start();
+  }
+
+  // Not before the data path: the servers cost as much processor time as all else at the start.
+  private void startEndpoints() throws IOException {
+    HttpEndpoint.start(settings.readiness(), "/", () -> stopping ? null : EMPTY_BODY);
     Endpoint stateEndpoint = Endpoint.of(settings.address(), settings.statePort());
     HttpEndpoint.start(stateEndpoint, PeerStateClient.PATH, () -> stateCopy);
   }
@@ -83,19 +90,27 @@
   }
 
   @Override
-  public void run() throws InterruptedException {
+  public void run() throws InterruptedException, IOException {
     long nextBeaconMs = 0;
     long nextSweepMs = 0;
     long nextReportMs = 0;
     int reportedBusy = 0;
+    boolean serving = false;
+    long startedAtMs = MonotonicClock.nowMs();
     while (!stopping) {
       Thread.sleep(TICK_MS);
       long nowMs = MonotonicClock.nowMs();
       agent.onTick(nowMs);
+      if (!serving && nowMs - startedAtMs > ENDPOINTS_AFTER_MS) {
+        serving = true;
+        startEndpoints();
+      }
       int busy = agent.busyFlows();
       boolean loadChanged = busy != reportedBusy && nowMs >= nextReportMs;
       if (nowMs >= nextBeaconMs || loadChanged) {
-        nextBeaconMs = nowMs + BEACON_MS;
+        // Nodes that start together find each other sooner by more frequent beacons at first.
+        boolean starting = nowMs - startedAtMs < FIRST_BEACONS_FOR_MS;
+        nextBeaconMs = nowMs + (starting ? FIRST_BEACONS_MS : BEACON_MS);
         nextReportMs = nowMs + LOAD_REPORT_MS;
         reportedBusy = busy;
         sendBeacons(nowMs);
--- a/forwarding/src/main/java/io/moorstage/forwarding/BalancerDaemon.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/BalancerDaemon.java
@@ -26,6 +26,7 @@
   private static final int TICK_MS = 20;
   private static final int BEACON_MS = 500;
   private static final int SWEEP_MS = 1_000;
+  private static final int ENDPOINTS_WITHIN_MS = 300;
   private static final int ISOLATED_AFTER_MS = 1_300;
   private static final int MEMBERSHIP_MS = 20_000;
   private static final int CATCH_UP_DELAY_MS = 150;
@@ -83,10 +84,14 @@
     clientPort.start("client-segments", this::onClientDatagram, log);
     peerPort.start("peer-messages", this::onPeerDatagram, log);
     follower.start();
-    HttpEndpoint.start(settings.readiness(), "/", () -> ready && !isolated ? EMPTY_BODY : null);
     reload(settings);
     sendBeacons(MonotonicClock.nowMs());
     fetcher.start();
+  }
+
+  // The servers cost as much processor time as all before them, which clients would wait for.
+  private void startEndpoints() throws IOException {
+    HttpEndpoint.start(settings.readiness(), "/", () -> ready && !isolated ? EMPTY_BODY : null);
     Endpoint stateEndpoint = Endpoint.of(settings.address(), settings.statePort());
     HttpEndpoint.start(stateEndpoint, PeerStateClient.PATH, keeper::encoded);
   }
@@ -100,7 +105,9 @@
   }
 
   @Override
-  public void run() throws InterruptedException {
+  public void run() throws InterruptedException, IOException {
+    awaitReady();
+    startEndpoints();
     long nextBeaconMs = 0;
     long nextSweepMs = 0;
     while (!hasStopped(MonotonicClock.nowMs())) {
@@ -121,6 +128,14 @@
     log.event("stopped", "flows", balancer.flowCount());
   }
 
+  private void awaitReady() throws InterruptedException {
+    long deadlineMs = MonotonicClock.nowMs() + ENDPOINTS_WITHIN_MS;
+    while (!ready && !stopping && MonotonicClock.nowMs() < deadlineMs) {
+      Thread.sleep(TICK_MS);
+      balancer.onTick(MonotonicClock.nowMs());
+    }
+  }
+
   // A balancer that hears no agent, and few other balancers, is cut off: its clients do better
   // elsewhere. If the other balancers are there, it is the agents that are away.
   private void checkIsolation(long nowMs) {
@@ -157,9 +172,6 @@
   // ---- state ----
 
   private void onState(FleetState before, FleetState after, long nowMs) {
-    if (after.revision() == before.revision()) {
-      return;
-    }
     balancer.onState(after, nowMs);
     if (after.configuration().version() != before.configuration().version()) {
       log.event(
