Count what balancer and agent decide and meet, and tell it at /metrics

Every decision is counted, also those that the log leaves out; datagrams, bad input by kind, calls to the store by answer, bytes of beacons, and gauges of flows, state and its age. Malformed datagrams and store items had a log line at most until now. A page describes all metrics, and a test compares it; a test with real processes sends bad input and reads the counters.

Own counters, as the nearest kin of Micrometer: a few dozen numbers, at a start that must cost little. No latency histogram yet.

--- a/forwarding/src/main/java/io/moorstage/forwarding/AgentDaemon.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/AgentDaemon.java
@@ -31,6 +31,7 @@
   private final ForwardingSettings settings;
   private final SegmentCodec segments;
   private final EventLog log;
+  private final ForwardingMetrics metrics;
   private final FlowAgent agent;
   private final PeerDirectory balancers;
   private final AddressCache peers;
@@ -53,14 +54,20 @@
     this.segments = segments;
     this.log = log;
     long nowMs = MonotonicClock.nowMs();
+    this.metrics = new ForwardingMetrics(log);
     this.agent =
-        new FlowAgent(ForwardingPolicy.STANDARD, settings.service(), new Actions(), log, nowMs);
+        new FlowAgent(ForwardingPolicy.STANDARD, settings.service(), new Actions(), metrics, nowMs);
     this.balancers = new PeerDirectory(settings.address());
     this.peers = new AddressCache(settings.peerPort());
     this.clients = new AddressCache(settings.clientEndpoint().port());
     this.target = UdpPort.socketAddress(settings.target().ipv4(), settings.target().port());
     PeerStateClient client = new PeerStateClient(settings.statePort());
     this.fetcher = new PeerStateFetcher(client, this::onPeerState, log);
+    metrics.gauge(ForwardingGauge.FLOWS, agent::flowCount);
+    metrics.gauge(ForwardingGauge.REQUESTS, agent::busyFlows);
+    metrics.gauge(ForwardingGauge.BALANCERS, () -> balancers.live(MonotonicClock.nowMs()).length);
+    metrics.gauge(ForwardingGauge.STATE_REVISION, () -> copyRevision);
+    metrics.gauge(ForwardingGauge.LINES_LEFT_OUT, log::linesLeftOut);
   }
 
   @Override
@@ -79,6 +86,8 @@
     HttpEndpoint.start(settings.readiness(), "/", () -> stopping ? null : EMPTY_BODY);
     Endpoint stateEndpoint = Endpoint.of(settings.address(), settings.statePort());
     HttpEndpoint.start(stateEndpoint, PeerStateClient.PATH, () -> stateCopy);
+    Endpoint metricsEndpoint = Endpoint.of(settings.address(), settings.metricsPort());
+    HttpEndpoint.start(metricsEndpoint, ForwardingMetrics.PATH, metrics::exposition);
   }
 
   @Override
@@ -139,6 +148,7 @@
     if (revision > copyRevision) {
       stateCopy = encoded;
       copyRevision = revision;
+      metrics.count(ForwardingCounter.PEER_STATES);
     }
   }
 
@@ -157,12 +167,15 @@
   private synchronized void sendBeacon(PeerMessage beacon, int address) {
     beaconOut.clear();
     PeerMessageCodec.encode(beacon, beaconOut);
+    metrics.add(ForwardingCounter.BEACON_BYTES, beaconOut.position());
     peerPort.send(beaconOut.flip(), peers.get(address));
   }
 
   private void onTargetDatagram(int sourceAddress, ByteBuffer datagram) {
+    metrics.count(ForwardingCounter.TARGET_DATAGRAMS);
     Segment segment = segments.decodeFromTarget(datagram);
     if (segment == null) {
+      metrics.count(ForwardingCounter.BAD_TARGET_DATAGRAMS);
       return;
     }
     if (segment.returned()) {
@@ -173,19 +186,12 @@
 
   private void onPeerDatagram(int sourceAddress, ByteBuffer datagram) {
     long nowMs = MonotonicClock.nowMs();
+    metrics.count(ForwardingCounter.PEER_DATAGRAMS);
     PeerMessage message = PeerMessageCodec.decode(datagram);
-    if (message instanceof PeerMessage.Forward forward) {
-      Segment segment = segments.decodeFromClient(forward.datagram());
-      if (segment != null) {
-        agent.onForwarded(
-            sourceAddress,
-            forward.service(),
-            forward.configurationVersion(),
-            forward.timeoutMs(),
-            segment,
-            forward.datagram(),
-            nowMs);
-      }
+    if (message == null) {
+      metrics.count(ForwardingCounter.BAD_PEER_DATAGRAMS);
+    } else if (message instanceof PeerMessage.Forward forward) {
+      onForward(sourceAddress, forward, nowMs);
     } else if (message instanceof PeerMessage.Ask ask) {
       answer(sourceAddress, ask.flow(), nowMs);
     } else if (message instanceof PeerMessage.BalancerBeacon beacon) {
@@ -195,6 +201,22 @@
     }
   }
 
+  private void onForward(int balancer, PeerMessage.Forward forward, long nowMs) {
+    Segment segment = segments.decodeFromClient(forward.datagram());
+    if (segment == null) {
+      metrics.count(ForwardingCounter.BAD_PEER_DATAGRAMS);
+      return;
+    }
+    agent.onForwarded(
+        balancer,
+        forward.service(),
+        forward.configurationVersion(),
+        forward.timeoutMs(),
+        segment,
+        forward.datagram(),
+        nowMs);
+  }
+
   // Another agent was told of this one as a seed, and looks for balancers.
   private void onAgentBeacon(int peer, PeerMessage.AgentBeacon beacon, long nowMs) {
     for (int address : beacon.balancers()) {
--- a/forwarding/src/main/java/io/moorstage/forwarding/BalancerDaemon.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/BalancerDaemon.java
@@ -40,6 +40,7 @@
   private final ForwardingSettings settings;
   private final SegmentCodec segments;
   private final EventLog log;
+  private final ForwardingMetrics metrics;
   private final FlowBalancer balancer;
   private final StateKeeper keeper;
   private final PeerDirectory balancers;
@@ -59,6 +60,7 @@
   private volatile long behindSinceMs;
   private volatile long behindRevision;
   private volatile int aheadPeer;
+  private volatile long confirmedAtMs;
 
   /** Creates a daemon; nothing is bound before {@link #start()}. */
   public BalancerDaemon(
@@ -66,15 +68,43 @@
     this.settings = settings;
     this.segments = segments;
     this.log = log;
+    this.metrics = new ForwardingMetrics(log);
     this.balancer =
-        new FlowBalancer(ForwardingPolicy.STANDARD, new Actions(), log, MonotonicClock.nowMs());
+        new FlowBalancer(ForwardingPolicy.STANDARD, new Actions(), metrics, MonotonicClock.nowMs());
     this.keeper = new StateKeeper(ForwardingPolicy.STANDARD.goneMemoryMs(), this::onState);
     this.balancers = new PeerDirectory(settings.address());
     this.peers = new AddressCache(settings.peerPort());
     this.clients = new AddressCache(settings.clientEndpoint().port());
-    this.follower = new SourceFollower(source, keeper, this::onConfirmed, log);
+    this.follower = new SourceFollower(source, keeper, this::onConfirmed, log, metrics);
     PeerStateClient client = new PeerStateClient(settings.statePort());
     this.fetcher = new PeerStateFetcher(client, this::onPeerState, log);
+    nameGauges(source);
+  }
+
+  private void nameGauges(StateSource source) {
+    metrics.gauge(ForwardingGauge.FLOWS, balancer::flowCount);
+    metrics.gauge(ForwardingGauge.BALANCERS, () -> balancers.live(MonotonicClock.nowMs()).length);
+    metrics.gauge(ForwardingGauge.STATE_REVISION, () -> keeper.state().revision());
+    metrics.gauge(
+        ForwardingGauge.CONFIGURATION_VERSION, () -> keeper.state().configuration().version());
+    metrics.gauge(ForwardingGauge.STATE_AGE_MS, this::stateAgeMs);
+    metrics.gauge(ForwardingGauge.READY_TARGETS, () -> readyTargets(keeper.state()));
+    metrics.gauge(ForwardingGauge.UNUSABLE_ITEMS, source::unusableItems);
+    metrics.gauge(ForwardingGauge.LINES_LEFT_OUT, log::linesLeftOut);
+  }
+
+  private long stateAgeMs() {
+    return confirmedAtMs == 0 ? -1 : MonotonicClock.nowMs() - confirmedAtMs;
+  }
+
+  private static long readyTargets(FleetState state) {
+    long ready = 0;
+    for (TargetRecord target : state.targets()) {
+      if (target.phase() == TargetPhase.READY) {
+        ready++;
+      }
+    }
+    return ready;
   }
 
   @Override
@@ -94,6 +124,8 @@
     HttpEndpoint.start(settings.readiness(), "/", () -> ready && !isolated ? EMPTY_BODY : null);
     Endpoint stateEndpoint = Endpoint.of(settings.address(), settings.statePort());
     HttpEndpoint.start(stateEndpoint, PeerStateClient.PATH, keeper::encoded);
+    Endpoint metricsEndpoint = Endpoint.of(settings.address(), settings.metricsPort());
+    HttpEndpoint.start(metricsEndpoint, ForwardingMetrics.PATH, metrics::exposition);
   }
 
   @Override
@@ -225,6 +257,7 @@
   }
 
   private void onConfirmed(long nowMs) {
+    confirmedAtMs = nowMs;
     balancer.onConfirmed(nowMs + CONFIRMED_FOR_MS);
   }
 
@@ -240,6 +273,7 @@
           peerState.revision(),
           "before",
           ownRevision);
+      metrics.count(ForwardingCounter.PEER_STATES);
       keeper.merge(peerState, MonotonicClock.nowMs());
     }
   }
@@ -294,6 +328,7 @@
     PeerMessageCodec.encode(
         new PeerMessage.BalancerBeacon(revision, settings.zone(), phase, capacity, live),
         beaconOut);
+    metrics.add(ForwardingCounter.BEACON_BYTES, beaconOut.position());
     peerPort.send(beaconOut.flip(), peers.get(address));
   }
 
@@ -314,10 +349,12 @@
   private void onClientDatagram(int sourceAddress, ByteBuffer datagram) {
     long nowMs = MonotonicClock.nowMs();
     lastClientAtMs = nowMs;
+    metrics.count(ForwardingCounter.CLIENT_DATAGRAMS);
     Segment segment = segments.decodeFromClient(datagram);
     if (segment == null) {
+      metrics.count(ForwardingCounter.BAD_CLIENT_DATAGRAMS);
       FlowId unknown = new FlowId(sourceAddress, 0, 0, 0);
-      log.decided(Decision.DROPPED_MALFORMED, unknown, 0, "head", -1);
+      metrics.decided(Decision.DROPPED_MALFORMED, unknown, 0, "head", -1);
       return;
     }
     balancer.onClientSegment(segment, datagram, nowMs);
@@ -325,18 +362,12 @@
 
   private void onPeerDatagram(int sourceAddress, ByteBuffer datagram) {
     long nowMs = MonotonicClock.nowMs();
+    metrics.count(ForwardingCounter.PEER_DATAGRAMS);
     PeerMessage message = PeerMessageCodec.decode(datagram);
-    if (message instanceof PeerMessage.GiveBack giveBack) {
-      Segment segment = segments.decodeFromClient(giveBack.datagram());
-      if (segment != null) {
-        balancer.onGivenBack(
-            sourceAddress,
-            giveBack.reason(),
-            giveBack.configurationVersion(),
-            segment,
-            giveBack.datagram(),
-            nowMs);
-      }
+    if (message == null) {
+      metrics.count(ForwardingCounter.BAD_PEER_DATAGRAMS);
+    } else if (message instanceof PeerMessage.GiveBack giveBack) {
+      onGiveBack(sourceAddress, giveBack, nowMs);
     } else if (message instanceof PeerMessage.Answer answer) {
       balancer.onKnowledge(
           sourceAddress, answer.flow(), answer.knowledge(), answer.targetAddress(), nowMs);
@@ -352,6 +383,21 @@
     }
   }
 
+  private void onGiveBack(int agentAddress, PeerMessage.GiveBack giveBack, long nowMs) {
+    Segment segment = segments.decodeFromClient(giveBack.datagram());
+    if (segment == null) {
+      metrics.count(ForwardingCounter.BAD_PEER_DATAGRAMS);
+      return;
+    }
+    balancer.onGivenBack(
+        agentAddress,
+        giveBack.reason(),
+        giveBack.configurationVersion(),
+        segment,
+        giveBack.datagram(),
+        nowMs);
+  }
+
   private void answer(int peerAddress, FlowId flow) {
     int target = balancer.knownTarget(flow);
     if (target != 0) {
--- a/forwarding/src/main/java/io/moorstage/forwarding/EventLog.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/EventLog.java
@@ -25,6 +25,7 @@
   private int usualThisSecond;
   private int troubleThisSecond;
   private long leftOut;
+  private long leftOutInAll;
 
   /** Creates a log for a process. */
   public EventLog(String nodeId) {
@@ -100,11 +101,17 @@
         trouble ? troubleThisSecond++ < BUDGET_TROUBLE : usualThisSecond++ < BUDGET_USUAL;
     if (!within || queue.size() >= MAX_QUEUED) {
       leftOut++;
+      leftOutInAll++;
       return false;
     }
     return true;
   }
 
+  /** Returns how many lines were left out so far. */
+  synchronized long linesLeftOut() {
+    return leftOutInAll;
+  }
+
   private synchronized void put(String line) {
     queue.add(line);
     notifyAll();
--- /dev/null
+++ b/forwarding/src/main/java/io/moorstage/forwarding/ForwardingCounter.java
@@ -0,0 +1,42 @@
+package io.moorstage.forwarding;
+
+import io.moorstage.core.error.Failure;
+import java.util.Locale;
+
+/** What a forwarding daemon counts beside its decisions. */
+enum ForwardingCounter {
+  CLIENT_DATAGRAMS("Datagrams that clients have sent to a balancer."),
+  TARGET_DATAGRAMS("Datagrams that the target has sent to its agent."),
+  PEER_DATAGRAMS("Datagrams that other nodes have sent."),
+  BAD_CLIENT_DATAGRAMS("Clients' datagrams that are no segment: too short, or of a wrong length."),
+  BAD_TARGET_DATAGRAMS("The target's datagrams that are no segment."),
+  BAD_PEER_DATAGRAMS("Other nodes' datagrams that are no message, or carry no segment."),
+  BEACON_BYTES("Bytes of beacons sent to other nodes."),
+  SOURCE_ANSWERS("Usable answers of the configuration source."),
+  SOURCE_UNREACHABLE("Calls to the source without a connection, or without an answer in time."),
+  SOURCE_REFUSED("Calls that the source has refused."),
+  SOURCE_HISTORY_GONE("Calls to which the source no longer knew the changes asked for."),
+  SOURCE_MALFORMED("Answers of the source that were cut off, malformed or too large."),
+  PEER_STATES("States taken from another node, since it knew more than this one.");
+
+  private final String meaning;
+
+  ForwardingCounter(String meaning) {
+    this.meaning = meaning;
+  }
+
+  /** Returns the name in the exposition. */
+  String metricName() {
+    return "moorstage_forwarding_" + name().toLowerCase(Locale.ROOT) + "_total";
+  }
+
+  /** Returns what is counted, one sentence. */
+  String meaning() {
+    return meaning;
+  }
+
+  /** Returns the counter of a failed call to the source. */
+  static ForwardingCounter ofFailure(Failure failure) {
+    return valueOf("SOURCE_" + failure.code().toUpperCase(Locale.ROOT).replace('-', '_'));
+  }
+}
--- a/forwarding/src/main/java/io/moorstage/forwarding/ForwardingSettings.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/ForwardingSettings.java
@@ -17,6 +17,7 @@
  * @param address address of its machine
  * @param peerPort UDP port, the same on all machines, for what nodes send each other
  * @param statePort TCP port, the same on all machines, at which nodes hand out their state
+ * @param metricsPort TCP port at which metrics are told
  * @param readiness where readiness is answered
  * @param seeds nodes that may know the fleet; only their addresses count
  * @param source where the configuration source answers
@@ -31,6 +32,7 @@
     int address,
     int peerPort,
     int statePort,
+    int metricsPort,
     Endpoint readiness,
     List<Endpoint> seeds,
     Endpoint source,
@@ -89,6 +91,7 @@
             values.address("node.address"),
             values.port("node.peer-port"),
             values.port("node.state-port"),
+            values.port("node.metrics-port"),
             values.endpoint("node.readiness-address"),
             values.endpoints("node.seeds"),
             values.endpoint("source.address"),
--- a/forwarding/src/main/java/io/moorstage/forwarding/SourceFollower.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/SourceFollower.java
@@ -17,6 +17,7 @@
   private final StateKeeper keeper;
   private final EventLog log;
   private final ConfirmationListener listener;
+  private final ForwardingMetrics metrics;
   private boolean complete;
   private boolean answering = true;
   private int failures;
@@ -28,11 +29,16 @@
   }
 
   SourceFollower(
-      StateSource source, StateKeeper keeper, ConfirmationListener listener, EventLog log) {
+      StateSource source,
+      StateKeeper keeper,
+      ConfirmationListener listener,
+      EventLog log,
+      ForwardingMetrics metrics) {
     this.source = source;
     this.keeper = keeper;
     this.listener = listener;
     this.log = log;
+    this.metrics = metrics;
   }
 
   void start() {
@@ -72,6 +78,7 @@
 
   private void succeeded() {
     failures = 0;
+    metrics.count(ForwardingCounter.SOURCE_ANSWERS);
     listener.onConfirmed(MonotonicClock.nowMs());
     if (!answering) {
       answering = true;
@@ -80,6 +87,7 @@
   }
 
   private void failed(StateSourceException e) throws InterruptedException {
+    metrics.count(ForwardingCounter.ofFailure(e.failure()));
     if (answering) {
       answering = false;
       log.event(
--- a/forwarding/src/main/java/io/moorstage/forwarding/StateSource.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/StateSource.java
@@ -26,4 +26,7 @@
    *     changes since that revision
    */
   StateChanges awaitChanges(long afterRevision, int waitMs) throws StateSourceException;
+
+  /** Returns how many items were left out so far, since they could not be read. */
+  long unusableItems();
 }
--- /dev/null
+++ b/forwarding/src/test/java/io/moorstage/forwarding/ForwardingMetricsTest.java
@@ -0,0 +1,60 @@
+package io.moorstage.forwarding;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.moorstage.core.transparent.Decision;
+import io.moorstage.core.transparent.DecisionLog;
+import io.moorstage.core.transparent.FlowId;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class ForwardingMetricsTest {
+  private static final FlowId FLOW = new FlowId(1, 2, 3, 4);
+
+  private static List<String> lines(ForwardingMetrics metrics) {
+    return new String(metrics.exposition(), StandardCharsets.UTF_8).lines().toList();
+  }
+
+  @Test
+  void everyDecisionIsCountedAndPassedOn() {
+    List<Decision> passedOn = new ArrayList<>();
+    ForwardingMetrics metrics =
+        new ForwardingMetrics((decision, flow, address, reason, ageMs) -> passedOn.add(decision));
+    metrics.decided(Decision.PLACED, FLOW, 0, "new", 0);
+    metrics.decided(Decision.PLACED, FLOW, 0, "new", 0);
+
+    assertThat(passedOn).hasSize(2);
+    assertThat(lines(metrics))
+        .contains("moorstage_forwarding_decisions_total{decision=\"placed\"} 2");
+  }
+
+  @Test
+  void countersAndGaugesAreTold() {
+    ForwardingMetrics metrics = new ForwardingMetrics(DecisionLog.NONE);
+    metrics.count(ForwardingCounter.BAD_PEER_DATAGRAMS);
+    metrics.add(ForwardingCounter.BEACON_BYTES, 120);
+    metrics.gauge(ForwardingGauge.FLOWS, () -> 7);
+
+    assertThat(lines(metrics)).contains("moorstage_forwarding_bad_peer_datagrams_total 1");
+    assertThat(lines(metrics)).contains("moorstage_forwarding_beacon_bytes_total 120");
+    assertThat(lines(metrics)).contains("moorstage_forwarding_flows 7");
+  }
+
+  @Test
+  void everyFailureOfTheSourceHasACounter() {
+    for (StateSourceFailure failure : StateSourceFailure.values()) {
+      assertThat(ForwardingCounter.ofFailure(failure).name()).endsWith(failure.name());
+    }
+  }
+
+  @Test
+  void pageDescribesAllMetrics() throws IOException {
+    Path page = Path.of("..", "docs", "FORWARDING-METRICS.md");
+    assertThat(Files.readString(page)).isEqualTo(ForwardingMetrics.reference());
+  }
+}
--- a/forwarding/src/test/java/io/moorstage/forwarding/ForwardingSettingsTest.java
+++ b/forwarding/src/test/java/io/moorstage/forwarding/ForwardingSettingsTest.java
@@ -16,6 +16,7 @@
       node.address: 10.1.0.10
       node.peer-port: 7720
       node.state-port: 7735
+      node.metrics-port: 9464
       node.readiness-address: 10.1.0.10:8167
       node.seeds: 10.1.0.10:8166,10.2.0.40:8166
       source.address: 10.200.1.7:8169
