Tell other balancers of a new configuration at once

They learnt of each version 240 to 620 ms after the others, by the beacon of every 0.5 s and after another 150 ms for a source that they knew to be silent; agents returned their openings meanwhile (45 held for a configuration), and 19 requests were late.

Ruled out: agents as the place to fetch from; their copies are up to 1 s old.

Change: beacons to the other balancers with each new configuration; a balancer whose source has not answered asks the peer at once.

--- a/forwarding/src/main/java/io/moorstage/forwarding/BalancerDaemon.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/BalancerDaemon.java
@@ -29,7 +29,6 @@
   private static final int ENDPOINTS_WITHIN_MS = 300;
   private static final int ISOLATED_AFTER_MS = 1_300;
   private static final int MEMBERSHIP_MS = 20_000;
-  private static final int CATCH_UP_DELAY_MS = 150;
   private static final int CONFIRMED_FOR_MS = 2_500;
   private static final int STOP_MIN_MS = 1_300;
   private static final int STOP_MAX_MS = 4_500;
@@ -48,6 +47,7 @@
   private final AddressCache clients;
   private final SourceFollower follower;
   private final PeerStateFetcher fetcher;
+  private final StateLag lag = new StateLag();
   private final ByteBuffer out = ByteBuffer.allocateDirect(PeerMessageCodec.MAX_BYTES);
   private final ByteBuffer beaconOut = ByteBuffer.allocateDirect(PeerMessageCodec.MAX_BYTES);
   private UdpPort clientPort;
@@ -57,9 +57,6 @@
   private volatile long stopAtMs;
   private volatile long lastClientAtMs;
   private volatile boolean isolated;
-  private volatile long behindSinceMs;
-  private volatile long behindRevision;
-  private volatile int aheadPeer;
   private volatile long confirmedAtMs;
 
   /** Creates a daemon; nothing is bound before {@link #start()}. */
@@ -205,7 +202,9 @@
 
   private void onState(FleetState before, FleetState after, long nowMs) {
     balancer.onState(after, nowMs);
-    if (after.configuration().version() != before.configuration().version()) {
+    boolean configurationChanged =
+        after.configuration().version() != before.configuration().version();
+    if (configurationChanged) {
       log.event(
           "configuration-taken",
           "version",
@@ -224,6 +223,8 @@
     }
     if (targetsChanged && peerPort != null) {
       sendBeacons(nowMs);
+    } else if (configurationChanged && peerPort != null) {
+      sendBeaconsToBalancers(nowMs);
     }
   }
 
@@ -279,29 +280,14 @@
   }
 
   private void noteRevision(int peerAddress, long revision, long nowMs) {
-    long own = keeper.state().revision();
-    if (revision <= own) {
-      return;
-    }
-    aheadPeer = peerAddress;
-    if (own == 0) {
-      fetcher.fetch(peerAddress);
-    } else if (behindSinceMs == 0) {
-      behindSinceMs = nowMs;
-      behindRevision = revision;
-    }
+    lag.told(peerAddress, revision, keeper.state().revision(), nowMs);
+    catchUpIfBehind(nowMs);
   }
 
-  // The source usually tells a moment later; a peer is asked only if it does not.
   private void catchUpIfBehind(long nowMs) {
-    if (behindSinceMs == 0) {
-      return;
-    }
-    if (keeper.state().revision() >= behindRevision) {
-      behindSinceMs = 0;
-    } else if (nowMs - behindSinceMs > CATCH_UP_DELAY_MS) {
-      behindSinceMs = 0;
-      fetcher.fetch(aheadPeer);
+    int peer = lag.peerToAsk(keeper.state().revision(), follower.isAnswering(), nowMs);
+    if (peer != 0) {
+      fetcher.fetch(peer);
     }
   }
 
@@ -321,6 +307,15 @@
     }
   }
 
+  // A balancer that the source refuses learns of the configuration before agents, which go by the
+  // newest they have seen, give back what it forwards.
+  private synchronized void sendBeaconsToBalancers(long nowMs) {
+    int[] live = balancers.live(nowMs);
+    for (int peer : live) {
+      sendBeacon(peer, keeper.state().revision(), null, live);
+    }
+  }
+
   private void sendBeacon(int address, long revision, @Nullable TargetRecord target, int[] live) {
     TargetPhase phase = target == null ? null : target.phase();
     int capacity = target == null ? 0 : target.capacity();
--- a/forwarding/src/main/java/io/moorstage/forwarding/SourceFollower.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/SourceFollower.java
@@ -19,7 +19,7 @@
   private final ConfirmationListener listener;
   private final ForwardingMetrics metrics;
   private boolean complete;
-  private boolean answering = true;
+  private volatile boolean answering = true;
   private int failures;
 
   /** Hears that the state was current at some time. */
@@ -41,6 +41,11 @@
     this.metrics = metrics;
   }
 
+  /** Returns whether the last call was answered. */
+  boolean isAnswering() {
+    return answering;
+  }
+
   void start() {
     Thread thread = new Thread(this::followForever, "source-follower");
     thread.setDaemon(true);
