--- /dev/null
+++ b/forwarding/src/main/java/io/moorstage/forwarding/BalancerBeacons.java
@@ -0,0 +1,88 @@
+package io.moorstage.forwarding;
+
+import io.moorstage.core.transparent.FleetState;
+import io.moorstage.core.transparent.TargetPhase;
+import io.moorstage.core.transparent.TargetRecord;
+import java.nio.ByteBuffer;
+import java.util.HashMap;
+import java.util.Map;
+import javax.annotation.Nullable;
+
+/**
+ * A balancer's beacons: which revision it knows, what the source tells of an agent's target, and
+ * which balancers it hears. Thread-safe.
+ */
+final class BalancerBeacons {
+  private final String zone;
+  private final PeerDirectory balancers;
+  private final AddressCache peers;
+  private final ForwardingMetrics metrics;
+  private final ByteBuffer out = ByteBuffer.allocateDirect(PeerMessageCodec.MAX_BYTES);
+  @Nullable private UdpPort port;
+
+  BalancerBeacons(
+      String zone, PeerDirectory balancers, AddressCache peers, ForwardingMetrics metrics) {
+    this.zone = zone;
+    this.balancers = balancers;
+    this.peers = peers;
+    this.metrics = metrics;
+  }
+
+  /** Names the port to send from; nothing is sent before. */
+  synchronized void start(UdpPort peerPort) {
+    port = peerPort;
+  }
+
+  /** Sends a beacon to the agent of each target, and to each balancer that is known. */
+  synchronized void sendToAll(FleetState state, long nowMs) {
+    int[] live = balancers.live(nowMs);
+    Map<Integer, TargetRecord> agents = targetsByAddress(state);
+    for (Map.Entry<Integer, TargetRecord> agent : agents.entrySet()) {
+      send(agent.getKey(), state.revision(), agent.getValue(), live);
+    }
+    for (int peer : balancers.known(nowMs)) {
+      if (!agents.containsKey(peer)) {
+        send(peer, state.revision(), null, live);
+      }
+    }
+  }
+
+  // A balancer that the source refuses learns of the configuration before agents, which go by the
+  // newest they have seen, give back what it forwards.
+  synchronized void sendToBalancers(FleetState state, long nowMs) {
+    int[] live = balancers.live(nowMs);
+    for (int peer : live) {
+      send(peer, state.revision(), null, live);
+    }
+  }
+
+  /** Sends a beacon to one balancer. */
+  synchronized void sendTo(int peer, FleetState state, long nowMs) {
+    send(peer, state.revision(), null, balancers.live(nowMs));
+  }
+
+  private void send(int address, long revision, @Nullable TargetRecord target, int[] live) {
+    if (port == null) {
+      return;
+    }
+    TargetPhase phase = target == null ? null : target.phase();
+    int capacity = target == null ? 0 : target.capacity();
+    out.clear();
+    PeerMessageCodec.encode(
+        new PeerMessage.BalancerBeacon(revision, zone, phase, capacity, live), out);
+    metrics.add(ForwardingCounter.BEACON_BYTES, out.position());
+    port.send(out.flip(), peers.get(address));
+  }
+
+  /** Returns what each agent's machine holds; a machine may serve a newer target than one gone. */
+  private static Map<Integer, TargetRecord> targetsByAddress(FleetState state) {
+    Map<Integer, TargetRecord> targets = new HashMap<>();
+    for (TargetRecord target : state.targets()) {
+      TargetRecord known = targets.get(target.address());
+      if (known == null || target.phase().compareTo(known.phase()) < 0) {
+        targets.put(target.address(), target);
+      }
+    }
+    return targets;
+  }
+}
--- a/forwarding/src/main/java/io/moorstage/forwarding/BalancerDaemon.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/BalancerDaemon.java
@@ -7,19 +7,13 @@
 import io.moorstage.core.transparent.FlowBalancer;
 import io.moorstage.core.transparent.FlowId;
 import io.moorstage.core.transparent.FlowKnowledge;
-import io.moorstage.core.transparent.ForwardingConfiguration;
 import io.moorstage.core.transparent.ForwardingPolicy;
-import io.moorstage.core.transparent.ForwardingRoute;
 import io.moorstage.core.transparent.Segment;
 import io.moorstage.core.transparent.SegmentCodec;
 import io.moorstage.core.transparent.TargetPhase;
 import io.moorstage.core.transparent.TargetRecord;
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.util.HashMap;
-import java.util.Locale;
-import java.util.Map;
-import javax.annotation.Nullable;
 
 /** Takes clients' segments and forwards each to the agent beside the flow's target. */
 public final class BalancerDaemon implements ForwardingDaemon {
@@ -48,8 +42,9 @@
   private final SourceFollower follower;
   private final PeerStateFetcher fetcher;
   private final StateLag lag = new StateLag();
+  private final StateChangeLog changes;
+  private final BalancerBeacons beacons;
   private final ByteBuffer out = ByteBuffer.allocateDirect(PeerMessageCodec.MAX_BYTES);
-  private final ByteBuffer beaconOut = ByteBuffer.allocateDirect(PeerMessageCodec.MAX_BYTES);
   private UdpPort clientPort;
   private UdpPort peerPort;
   private volatile boolean ready;
@@ -71,6 +66,8 @@
     this.keeper = new StateKeeper(ForwardingPolicy.STANDARD.goneMemoryMs(), this::onState);
     this.balancers = new PeerDirectory(settings.address());
     this.peers = new AddressCache(settings.peerPort());
+    this.changes = new StateChangeLog(log);
+    this.beacons = new BalancerBeacons(settings.zone(), balancers, peers, metrics);
     this.clients = new AddressCache(settings.clientEndpoint().port());
     this.follower = new SourceFollower(source, keeper, this::onConfirmed, log, metrics);
     PeerStateClient client = new PeerStateClient(settings.statePort());
@@ -107,12 +104,13 @@
   @Override
   public void start() throws IOException {
     peerPort = UdpPort.bind(Endpoint.of(settings.address(), settings.peerPort()));
+    beacons.start(peerPort);
     clientPort = UdpPort.bind(settings.clientEndpoint());
     clientPort.start("client-segments", this::onClientDatagram, log);
     peerPort.start("peer-messages", this::onPeerDatagram, log);
     follower.start();
     reload(settings);
-    sendBeacons(MonotonicClock.nowMs());
+    beacons.sendToAll(keeper.state(), MonotonicClock.nowMs());
     fetcher.start();
   }
 
@@ -145,7 +143,7 @@
       balancer.onTick(nowMs);
       if (nowMs >= nextBeaconMs) {
         nextBeaconMs = nowMs + BEACON_MS;
-        sendBeacons(nowMs);
+        beacons.sendToAll(keeper.state(), nowMs);
       }
       if (nowMs >= nextSweepMs) {
         nextSweepMs = nowMs + SWEEP_MS;
@@ -202,59 +200,17 @@
 
   private void onState(FleetState before, FleetState after, long nowMs) {
     balancer.onState(after, nowMs);
-    boolean configurationChanged =
-        after.configuration().version() != before.configuration().version();
-    if (configurationChanged) {
-      log.event(
-          "configuration-taken",
-          "version",
-          after.configuration().version(),
-          "routes",
-          after.configuration().routes().size(),
-          "shortest-timeout-ms",
-          shortestTimeoutMs(after.configuration()),
-          "revision",
-          after.revision());
-    }
-    boolean targetsChanged = logTargets(before, after);
+    boolean configurationChanged = changes.logConfiguration(before, after);
+    boolean targetsChanged = changes.logTargets(before, after);
     if (!ready && !stopping && after.configuration().version() > 0) {
       ready = true;
       log.event("ready", "revision", after.revision());
     }
-    if (targetsChanged && peerPort != null) {
-      sendBeacons(nowMs);
-    } else if (configurationChanged && peerPort != null) {
-      sendBeaconsToBalancers(nowMs);
-    }
-  }
-
-  private static int shortestTimeoutMs(ForwardingConfiguration configuration) {
-    int shortestMs = Integer.MAX_VALUE;
-    for (ForwardingRoute route : configuration.routes()) {
-      shortestMs = Math.min(shortestMs, route.timeoutMs());
-    }
-    return shortestMs;
-  }
-
-  private boolean logTargets(FleetState before, FleetState after) {
-    boolean changed = false;
-    for (TargetRecord target : after.targets()) {
-      TargetRecord known = before.target(target.id());
-      if (known == null || known.phase() != target.phase()) {
-        changed = true;
-        log.event(
-            "target-" + target.phase().name().toLowerCase(Locale.ROOT),
-            "target",
-            target.id(),
-            "service",
-            target.service(),
-            "at",
-            Endpoint.of(target.address(), 0).host(),
-            "revision",
-            target.revision());
-      }
+    if (targetsChanged) {
+      beacons.sendToAll(after, nowMs);
+    } else if (configurationChanged) {
+      beacons.sendToBalancers(after, nowMs);
     }
-    return changed;
   }
 
   private void onConfirmed(long nowMs) {
@@ -291,54 +247,6 @@
     }
   }
 
-  // ---- beacons ----
-
-  private synchronized void sendBeacons(long nowMs) {
-    FleetState state = keeper.state();
-    int[] live = balancers.live(nowMs);
-    Map<Integer, TargetRecord> agents = targetsByAddress(state);
-    for (Map.Entry<Integer, TargetRecord> agent : agents.entrySet()) {
-      sendBeacon(agent.getKey(), state.revision(), agent.getValue(), live);
-    }
-    for (int peer : balancers.known(nowMs)) {
-      if (!agents.containsKey(peer)) {
-        sendBeacon(peer, state.revision(), null, live);
-      }
-    }
-  }
-
-  // A balancer that the source refuses learns of the configuration before agents, which go by the
-  // newest they have seen, give back what it forwards.
-  private synchronized void sendBeaconsToBalancers(long nowMs) {
-    int[] live = balancers.live(nowMs);
-    for (int peer : live) {
-      sendBeacon(peer, keeper.state().revision(), null, live);
-    }
-  }
-
-  private void sendBeacon(int address, long revision, @Nullable TargetRecord target, int[] live) {
-    TargetPhase phase = target == null ? null : target.phase();
-    int capacity = target == null ? 0 : target.capacity();
-    beaconOut.clear();
-    PeerMessageCodec.encode(
-        new PeerMessage.BalancerBeacon(revision, settings.zone(), phase, capacity, live),
-        beaconOut);
-    metrics.add(ForwardingCounter.BEACON_BYTES, beaconOut.position());
-    peerPort.send(beaconOut.flip(), peers.get(address));
-  }
-
-  /** Returns what each agent's machine holds; a machine may serve a newer target than one gone. */
-  private static Map<Integer, TargetRecord> targetsByAddress(FleetState state) {
-    Map<Integer, TargetRecord> targets = new HashMap<>();
-    for (TargetRecord target : state.targets()) {
-      TargetRecord known = targets.get(target.address());
-      if (known == null || target.phase().compareTo(known.phase()) < 0) {
-        targets.put(target.address(), target);
-      }
-    }
-    return targets;
-  }
-
   // ---- datagrams ----
 
   private void onClientDatagram(int sourceAddress, ByteBuffer datagram) {
@@ -406,9 +314,7 @@
     noteRevision(peer, beacon.revision(), nowMs);
     if (appeared) {
       log.event("balancer-heard", "peer", Endpoint.of(peer, 0).host());
-      synchronized (this) {
-        sendBeacon(peer, keeper.state().revision(), null, balancers.live(nowMs));
-      }
+      beacons.sendTo(peer, keeper.state(), nowMs);
     }
   }
 
--- /dev/null
+++ b/forwarding/src/main/java/io/moorstage/forwarding/StateChangeLog.java
@@ -0,0 +1,70 @@
+package io.moorstage.forwarding;
+
+import io.moorstage.core.model.Endpoint;
+import io.moorstage.core.transparent.FleetState;
+import io.moorstage.core.transparent.ForwardingConfiguration;
+import io.moorstage.core.transparent.ForwardingRoute;
+import io.moorstage.core.transparent.TargetRecord;
+import java.util.Locale;
+
+/** Logs what a newer state changes for this node. */
+final class StateChangeLog {
+  private final EventLog log;
+
+  StateChangeLog(EventLog log) {
+    this.log = log;
+  }
+
+  /** Logs a configuration of another version; returns whether there is one. */
+  boolean logConfiguration(FleetState before, FleetState after) {
+    ForwardingConfiguration configuration = after.configuration();
+    if (configuration.version() == before.configuration().version()) {
+      return false;
+    }
+    log.event(
+        "configuration-taken",
+        "version",
+        configuration.version(),
+        "routes",
+        configuration.routes().size(),
+        "shortest-timeout-ms",
+        shortestTimeoutMs(configuration),
+        "revision",
+        after.revision());
+    return true;
+  }
+
+  private static int shortestTimeoutMs(ForwardingConfiguration configuration) {
+    int shortestMs = Integer.MAX_VALUE;
+    for (ForwardingRoute route : configuration.routes()) {
+      shortestMs = Math.min(shortestMs, route.timeoutMs());
+    }
+    return shortestMs;
+  }
+
+  /** Logs targets that are new or in another phase; returns whether there are any. */
+  boolean logTargets(FleetState before, FleetState after) {
+    boolean changed = false;
+    for (TargetRecord target : after.targets()) {
+      TargetRecord known = before.target(target.id());
+      if (known == null || known.phase() != target.phase()) {
+        changed = true;
+        logTarget(target);
+      }
+    }
+    return changed;
+  }
+
+  private void logTarget(TargetRecord target) {
+    log.event(
+        "target-" + target.phase().name().toLowerCase(Locale.ROOT),
+        "target",
+        target.id(),
+        "service",
+        target.service(),
+        "at",
+        Endpoint.of(target.address(), 0).host(),
+        "revision",
+        target.revision());
+  }
+}
