Measure transparent forwarding in the lab, and look up a route once a configuration

Cause of 24 bytes allocated a decision: the route was looked up for every segment, for its time-out. It is kept with the flow now, by version.

--- a/core/src/main/java/io/moorstage/core/transparent/BalancerFlow.java
+++ b/core/src/main/java/io/moorstage/core/transparent/BalancerFlow.java
@@ -32,6 +32,11 @@
   /** Whether the client has gone on after the opening, so that a target has answered. */
   boolean answered;
 
+  /** The time-out of the flow's route, as of the configuration of that version. */
+  int timeoutMs;
+
+  long timeoutVersion = -1;
+
   @Nullable Location location;
 
   BalancerFlow(FlowId id, String service, long nowMs) {
--- a/core/src/main/java/io/moorstage/core/transparent/BalancerTables.java
+++ b/core/src/main/java/io/moorstage/core/transparent/BalancerTables.java
@@ -175,9 +175,14 @@
 
   void send(BalancerFlow flow, TargetSlot target, ByteBuffer datagram) {
     ForwardingConfiguration configuration = state.configuration();
-    ForwardingRoute route = configuration.routeOf(flow.id);
-    int timeoutMs = route == null ? 0 : route.timeoutMs();
-    actions.forward(target.address(), flow.service, configuration.version(), timeoutMs, datagram);
+    long version = configuration.version();
+    // Looked up once for each configuration, since it would be for every segment.
+    if (flow.timeoutVersion != version) {
+      ForwardingRoute route = configuration.routeOf(flow.id);
+      flow.timeoutVersion = version;
+      flow.timeoutMs = route == null ? 0 : route.timeoutMs();
+    }
+    actions.forward(target.address(), flow.service, version, flow.timeoutMs, datagram);
   }
 
   /** Returns the pools that may hold a flow: any service that its route shares flows among. */
--- a/lab/src/main/java/io/moorstage/lab/bench/FlowMemory.java
+++ b/lab/src/main/java/io/moorstage/lab/bench/FlowMemory.java
@@ -12,6 +12,8 @@
 import io.moorstage.core.placement.PlacementSettings;
 import io.moorstage.core.steering.SteeringShard;
 import io.moorstage.core.steering.SteeringTables;
+import io.moorstage.core.transparent.FlowAgent;
+import io.moorstage.core.transparent.FlowBalancer;
 import io.moorstage.lab.LabCommand;
 import java.lang.management.ManagementFactory;
 import java.util.Arrays;
@@ -19,12 +21,16 @@
 import java.util.function.LongConsumer;
 import org.apache.commons.rng.simple.RandomSource;
 
-/** Measures the heap that held flows take, at a balancer and in a home agent's directory. */
+/**
+ * Measures the heap that held flows take: at a balancer, in a home agent's directory, and as
+ * transparent flows at a balancer and an agent.
+ */
 @Parameters(commandDescription = "Measure the heap that held flows take")
 public final class FlowMemory implements LabCommand {
   private static final int SHARDS = 16;
   private static final int FIRST_CALLER = 0x0A000000;
   private static final int[] BALANCER_FLOWS = {300_000, 1_000_000, 3_000_000};
+  private static final int[] TRANSPARENT_FLOWS = {20_000, 300_000};
   private static final int[] DIRECTORY_FLOWS = {2_000, 20_000, 100_000};
   private static final int SERVICE = 1;
   private static final int HOME = 100;
@@ -45,6 +51,20 @@
       print("directory", flows, usedHeap() - before);
       require(agent.directorySize() == flows, agent.directorySize());
     }
+    for (int flows : TRANSPARENT_FLOWS) {
+      measureTransparent(flows);
+    }
+  }
+
+  private static void measureTransparent(int flows) {
+    long before = usedHeap();
+    FlowBalancer balancer = TransparentFlows.balancer(flows);
+    print("transparent-balancer", flows, usedHeap() - before);
+    require(balancer.flowCount() == flows, balancer.flowCount());
+    before = usedHeap();
+    FlowAgent agent = TransparentFlows.agent(flows);
+    print("transparent-agent", flows, usedHeap() - before);
+    require(agent.flowCount() == flows, agent.flowCount());
   }
 
   private static SteeringShard[] balancer(int flows) {
--- /dev/null
+++ b/lab/src/main/java/io/moorstage/lab/bench/TransparentFlows.java
@@ -0,0 +1,136 @@
+package io.moorstage.lab.bench;
+
+import io.moorstage.core.transparent.AgentActions;
+import io.moorstage.core.transparent.BalancerActions;
+import io.moorstage.core.transparent.DecisionLog;
+import io.moorstage.core.transparent.FleetState;
+import io.moorstage.core.transparent.FlowAgent;
+import io.moorstage.core.transparent.FlowBalancer;
+import io.moorstage.core.transparent.FlowId;
+import io.moorstage.core.transparent.ForwardingConfiguration;
+import io.moorstage.core.transparent.ForwardingPolicy;
+import io.moorstage.core.transparent.ForwardingRoute;
+import io.moorstage.core.transparent.ReturnReason;
+import io.moorstage.core.transparent.Segment;
+import io.moorstage.core.transparent.TargetPhase;
+import io.moorstage.core.transparent.TargetRecord;
+import io.moorstage.core.transparent.WeightedService;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+
+/** A balancer and an agent that hold many open transparent flows, for measurements. */
+final class TransparentFlows {
+  private static final String SERVICE = "tables";
+  private static final int TARGETS = 7;
+  private static final int FIRST_TARGET = 0x0A020001;
+  private static final int BALANCER = 0x0A010001;
+  private static final int FIRST_CLIENT = 0x64400001;
+  private static final int CLIENT_PORT = 1024;
+  private static final int SERVICE_ADDRESS = 0xC6120001;
+  private static final int SERVICE_PORT = 443;
+  private static final int TIMEOUT_MS = 2_500;
+  private static final int SEGMENT_BYTES = 132;
+  private static final int DATA_BYTES = 100;
+
+  private TransparentFlows() {}
+
+  /** Returns the identity of a flow by its number. */
+  static FlowId flow(int number) {
+    return new FlowId(FIRST_CLIENT + number, CLIENT_PORT, SERVICE_ADDRESS, SERVICE_PORT);
+  }
+
+  /** Returns a segment with data from a flow's client. */
+  static Segment data(FlowId flow) {
+    return new Segment(flow, Segment.Kind.DATA, 0, false, 1_000, 1, DATA_BYTES);
+  }
+
+  /** Returns a datagram as long as that segment's. */
+  static ByteBuffer datagram() {
+    return ByteBuffer.allocateDirect(SEGMENT_BYTES);
+  }
+
+  /** Returns a balancer that holds open flows. */
+  static FlowBalancer balancer(int flows) {
+    FlowBalancer balancer =
+        new FlowBalancer(ForwardingPolicy.STANDARD, new NoBalancerActions(), DecisionLog.NONE, 0);
+    balancer.onState(state(), 0);
+    ByteBuffer datagram = datagram();
+    for (int number = 0; number < flows; number++) {
+      FlowId flow = flow(number);
+      balancer.onClientSegment(opening(flow), datagram, 0);
+      balancer.onClientSegment(data(flow), datagram, 0);
+    }
+    return balancer;
+  }
+
+  /** Returns an agent that holds open flows, each with an answered request. */
+  static FlowAgent agent(int flows) {
+    FlowAgent agent =
+        new FlowAgent(
+            ForwardingPolicy.STANDARD, SERVICE, new NoAgentActions(), DecisionLog.NONE, 0);
+    ByteBuffer datagram = datagram();
+    for (int number = 0; number < flows; number++) {
+      FlowId flow = flow(number);
+      agent.onForwarded(BALANCER, SERVICE, 1, TIMEOUT_MS, opening(flow), datagram, 0);
+      agent.onTargetSegment(answer(flow, Segment.Kind.OPEN_ACCEPTED, 0), datagram, 0);
+      agent.onForwarded(BALANCER, SERVICE, 1, TIMEOUT_MS, data(flow), datagram, 0);
+      agent.onTargetSegment(answer(flow, Segment.Kind.DATA, DATA_BYTES), datagram, 0);
+    }
+    return agent;
+  }
+
+  private static Segment opening(FlowId flow) {
+    return new Segment(flow, Segment.Kind.OPEN, 0, false, 999, 0, 0);
+  }
+
+  private static Segment answer(FlowId flow, Segment.Kind kind, int dataBytes) {
+    return new Segment(flow, kind, 0, false, 1, 1_000, dataBytes);
+  }
+
+  private static FleetState state() {
+    List<TargetRecord> targets = new ArrayList<>();
+    for (int number = 0; number < TARGETS; number++) {
+      targets.add(
+          new TargetRecord(
+              "t" + number, SERVICE, FIRST_TARGET + number, "z", 5, TargetPhase.READY, 0, 1));
+    }
+    ForwardingRoute route =
+        new ForwardingRoute(
+            SERVICE_ADDRESS, SERVICE_PORT, TIMEOUT_MS, List.of(new WeightedService(SERVICE, 1)));
+    return FleetState.of(1, new ForwardingConfiguration(1, 60_000, List.of(route)), targets);
+  }
+
+  private static final class NoBalancerActions implements BalancerActions {
+    @Override
+    public void forward(
+        int agentAddress, String service, long version, int timeoutMs, ByteBuffer datagram) {}
+
+    @Override
+    public void ask(int peerAddress, FlowId flow) {}
+
+    @Override
+    public void askBalancers(FlowId flow) {}
+
+    @Override
+    public void reset(FlowId flow, int sequence) {}
+
+    @Override
+    public void catchUp(int peerAddress, long configurationVersion) {}
+  }
+
+  private static final class NoAgentActions implements AgentActions {
+    @Override
+    public void deliver(ByteBuffer datagram) {}
+
+    @Override
+    public void sendToClient(FlowId flow, ByteBuffer datagram) {}
+
+    @Override
+    public void giveBack(
+        int balancerAddress, ReturnReason reason, long version, ByteBuffer datagram) {}
+
+    @Override
+    public void reset(FlowId flow, int sequence) {}
+  }
+}
