Go on without metrics where another program has their port

Found by reading: the port of the metrics stands in the deploy file, while all others are the platform's. A target on the same machine may have it, and the daemon would have ended at each start. Now it says so and serves.

--- a/forwarding/src/main/java/io/moorstage/forwarding/AgentDaemon.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/AgentDaemon.java
@@ -86,8 +86,7 @@
     HttpEndpoint.start(settings.readiness(), "/", () -> stopping ? null : EMPTY_BODY);
     Endpoint stateEndpoint = Endpoint.of(settings.address(), settings.statePort());
     HttpEndpoint.start(stateEndpoint, PeerStateClient.PATH, () -> stateCopy);
-    Endpoint metricsEndpoint = Endpoint.of(settings.address(), settings.metricsPort());
-    HttpEndpoint.start(metricsEndpoint, ForwardingMetrics.PATH, metrics::exposition);
+    metrics.serve(Endpoint.of(settings.address(), settings.metricsPort()), log);
   }
 
   @Override
--- a/forwarding/src/main/java/io/moorstage/forwarding/BalancerDaemon.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/BalancerDaemon.java
@@ -119,8 +119,7 @@
     HttpEndpoint.start(settings.readiness(), "/", () -> ready && !isolated ? EMPTY_BODY : null);
     Endpoint stateEndpoint = Endpoint.of(settings.address(), settings.statePort());
     HttpEndpoint.start(stateEndpoint, PeerStateClient.PATH, keeper::encoded);
-    Endpoint metricsEndpoint = Endpoint.of(settings.address(), settings.metricsPort());
-    HttpEndpoint.start(metricsEndpoint, ForwardingMetrics.PATH, metrics::exposition);
+    metrics.serve(Endpoint.of(settings.address(), settings.metricsPort()), log);
   }
 
   @Override
--- a/forwarding/src/main/java/io/moorstage/forwarding/ForwardingMetrics.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/ForwardingMetrics.java
@@ -1,8 +1,10 @@
 package io.moorstage.forwarding;
 
+import io.moorstage.core.model.Endpoint;
 import io.moorstage.core.transparent.Decision;
 import io.moorstage.core.transparent.DecisionLog;
 import io.moorstage.core.transparent.FlowId;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.EnumMap;
 import java.util.Map;
@@ -59,6 +61,17 @@
     log.decided(decision, flow, address, reason, ageMs);
   }
 
+  /**
+   * Tells the values over HTTP. Without the port, the daemon goes on: its data path matters more.
+   */
+  void serve(Endpoint endpoint, EventLog events) {
+    try {
+      HttpEndpoint.start(endpoint, PATH, this::exposition);
+    } catch (IOException e) {
+      events.event("metrics-unavailable", "port", endpoint.port(), "detail", e.getMessage());
+    }
+  }
+
   /** Returns all values; what is zero is told too. */
   byte[] exposition() {
     StringBuilder text = new StringBuilder(2_048);
