Give the idle window of ScaleRunTest more than two of the leader's heartbeats

Cause, by reading: the window was 0.1 s, half of a leader's heartbeat interval, so that nothing need be sent in it. The assertion stays; the window is 0.5 s.

--- a/lab/src/test/java/io/moorstage/lab/scale/ScaleRunTest.java
+++ b/lab/src/test/java/io/moorstage/lab/scale/ScaleRunTest.java
@@ -11,6 +11,9 @@
   private static final Experiment.Shape SHAPE =
       new Experiment.Shape(3, 3, 7, 7, 21, 3, 50, 500, 2000);
 
+  /** More than two of a leader's heartbeats of 200 ms, so that it must have been heard in it. */
+  private static final double IDLE_SECONDS = 0.5;
+
   /** Real sockets, voters, members, changes and every kind of fault, at the smallest size. */
   @Test
   void tinyFleetYieldsEveryMeasure() throws Exception {
@@ -75,6 +78,13 @@
 
   private static Experiment experiment(Experiment.Kind kind, Experiment.Fault... faults) {
     return new Experiment(
-        "tiny", kind, 1, 1, SHAPE, List.of(8), new Experiment.Load(0.1, 2, 20), List.of(faults));
+        "tiny",
+        kind,
+        1,
+        1,
+        SHAPE,
+        List.of(8),
+        new Experiment.Load(IDLE_SECONDS, 2, 20),
+        List.of(faults));
   }
 }
