End a request at the gate when its flow is closed

Their clients had given up while the first balancer was starting, so that data and close came together; the target closes such a flow at once, without an answer, and the gate counted only answers.

Change: a request ends when its target closes or resets the flow; one whose client closes while it waits goes to the target at once and takes no place; data that arrives behind the close does not wait.

--- a/core/src/main/java/io/moorstage/core/transparent/FlowAgent.java
+++ b/core/src/main/java/io/moorstage/core/transparent/FlowAgent.java
@@ -124,10 +124,10 @@
     if (mustWait(flow, timeoutMs, segment, datagram, nowMs)) {
       return;
     }
-    if (segment.dataBytes() > 0 && noteClientData(flow, segment)) {
+    if (segment.dataBytes() > 0 && noteClientData(flow, segment) && !flow.closed) {
       setBusy(flow, true, nowMs);
     }
-    noteEnd(flow, segment, nowMs);
+    noteClientEnd(flow, segment, nowMs);
     actions.deliver(datagram);
   }
 
@@ -147,9 +147,9 @@
   private boolean mustWait(
       AgentFlow flow, int timeoutMs, Segment segment, ByteBuffer datagram, long nowMs) {
     if (flow.waiting != null) {
-      return keepWaiting(flow, segment, datagram);
+      return keepWaiting(flow, segment, datagram, nowMs);
     }
-    boolean begins = segment.dataBytes() > 0 && !flow.busy;
+    boolean begins = segment.dataBytes() > 0 && !flow.busy && !flow.closed;
     // Where time is short, a request that waits is given up by its client and done in vain.
     boolean hasTime = timeoutMs >= MIN_TIMEOUT_IN_WAITS * policy.requestWaitMs();
     if (!begins || !hasTime || gate.isOpen()) {
@@ -165,7 +165,7 @@
     return true;
   }
 
-  private boolean keepWaiting(AgentFlow flow, Segment segment, ByteBuffer datagram) {
+  private boolean keepWaiting(AgentFlow flow, Segment segment, ByteBuffer datagram, long nowMs) {
     if (segment.kind() == Segment.Kind.RESET) {
       stopWaiting(flow);
       return false;
@@ -177,6 +177,12 @@
     if (isNew && flow.waiting.size() < MAX_WAITING_SEGMENTS) {
       flow.waiting.add(BalancerFlow.copyOf(datagram));
     }
+    if (segment.kind() == Segment.Kind.CLOSE) {
+      // Nobody waits for the answer any more. The target, which learns so at once, drops the
+      // request.
+      flow.closed = true;
+      release(flow, nowMs);
+    }
     return true;
   }
 
@@ -209,7 +215,9 @@
     if (segments == null) {
       return;
     }
-    setBusy(flow, true, nowMs);
+    if (!flow.closed) {
+      setBusy(flow, true, nowMs);
+    }
     for (byte[] segment : segments) {
       actions.deliver(ByteBuffer.wrap(segment));
     }
@@ -279,12 +287,19 @@
     }
   }
 
-  private void noteEnd(AgentFlow flow, Segment segment, long nowMs) {
+  private void noteClientEnd(AgentFlow flow, Segment segment, long nowMs) {
+    flow.closed |= segment.kind() == Segment.Kind.CLOSE;
+    if (segment.kind() == Segment.Kind.RESET) {
+      flow.closed = true;
+      setBusy(flow, false, nowMs);
+    }
+  }
+
+  // A target closes after its answer, or without one if its client has given the request up.
+  private void noteTargetEnd(AgentFlow flow, Segment segment, long nowMs) {
     if (segment.kind() == Segment.Kind.CLOSE || segment.kind() == Segment.Kind.RESET) {
       flow.closed = true;
-      if (segment.kind() == Segment.Kind.RESET) {
-        setBusy(flow, false, nowMs);
-      }
+      setBusy(flow, false, nowMs);
     }
   }
 
@@ -326,7 +341,7 @@
       flow.answered = true;
       setBusy(flow, false, nowMs);
     }
-    noteEnd(flow, segment, nowMs);
+    noteTargetEnd(flow, segment, nowMs);
   }
 
   private void returned(AgentFlow flow, Segment segment, ByteBuffer datagram, long nowMs) {
--- a/core/src/test/java/io/moorstage/core/transparent/Fleet.java
+++ b/core/src/test/java/io/moorstage/core/transparent/Fleet.java
@@ -26,6 +26,10 @@
     return new Segment(flow, Segment.Kind.DATA, 0, false, sequence, 7, bytes);
   }
 
+  static Segment close(FlowId flow, int sequence) {
+    return new Segment(flow, Segment.Kind.CLOSE, 0, false, sequence, 7, 0);
+  }
+
   static Segment returned(Segment segment) {
     return new Segment(
         segment.flow(),
--- a/core/src/test/java/io/moorstage/core/transparent/FlowAgentTest.java
+++ b/core/src/test/java/io/moorstage/core/transparent/FlowAgentTest.java
@@ -235,6 +235,47 @@
         .inOrder();
   }
 
+  // After an outage most of what the target had in progress were requests that had been given up.
+  @Test
+  void requestThatTheTargetEndsWithoutAnAnswerNoLongerCountsAsInProgress() {
+    fillTarget();
+    openFlow(60);
+    Segment next = Fleet.data(Fleet.flow(60), 101, 10);
+    actions.delivered.clear();
+    forwarded(next);
+    forwarded(Fleet.close(Fleet.flow(1), 111));
+    fromTarget(Fleet.close(Fleet.flow(1), 2));
+    assertThat(actions.delivered)
+        .containsExactly(Fleet.close(Fleet.flow(1), 111).toString(), next.toString())
+        .inOrder();
+    assertThat(agent.busyFlows()).isEqualTo(CAPACITY + SPARE);
+  }
+
+  @Test
+  void requestThatItsClientGivesUpWhileItWaitsTakesNoPlaceAtTheTarget() {
+    fillTarget();
+    openFlow(60);
+    actions.delivered.clear();
+    Segment data = Fleet.data(Fleet.flow(60), 101, 10);
+    Segment close = Fleet.close(Fleet.flow(60), 111);
+    forwarded(data);
+    forwarded(close);
+    assertThat(actions.delivered).containsExactly(data.toString(), close.toString()).inOrder();
+    assertThat(agent.busyFlows()).isEqualTo(CAPACITY + SPARE);
+  }
+
+  @Test
+  void dataThatArrivesBehindTheCloseOfItsFlowDoesNotWait() {
+    fillTarget();
+    openFlow(60);
+    actions.delivered.clear();
+    Segment data = Fleet.data(Fleet.flow(60), 101, 10);
+    forwarded(Fleet.close(Fleet.flow(60), 111));
+    forwarded(data);
+    assertThat(actions.delivered).contains(data.toString());
+    assertThat(agent.busyFlows()).isEqualTo(CAPACITY + SPARE);
+  }
+
   @Test
   void repetitionOfAnAnsweredRequestDoesNotCountAsInProgress() {
     agent.onCapacity(CAPACITY);
