--- a/forwarding/src/main/java/io/moorstage/forwarding/BalancerDaemon.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/BalancerDaemon.java
@@ -14,13 +14,14 @@
 import io.moorstage.core.transparent.TargetRecord;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import javax.annotation.Nullable;
 
 /** Takes clients' segments and forwards each to the agent beside the flow's target. */
 public final class BalancerDaemon implements ForwardingDaemon {
   private static final int TICK_MS = 20;
   private static final int BEACON_MS = 500;
   private static final int SWEEP_MS = 1_000;
-  private static final int ENDPOINTS_WITHIN_MS = 300;
+  private static final int ENDPOINTS_WITHIN_MS = 3_000;
   private static final int ISOLATED_AFTER_MS = 1_300;
   private static final int MEMBERSHIP_MS = 20_000;
   private static final int CONFIRMED_FOR_MS = 2_500;
@@ -53,6 +54,7 @@
   private volatile long lastClientAtMs;
   private volatile boolean isolated;
   private volatile long confirmedAtMs;
+  @Nullable private volatile IOException endpointFailure;
 
   /** Creates a daemon; nothing is bound before {@link #start()}. */
   public BalancerDaemon(
@@ -114,12 +116,24 @@
     fetcher.start();
   }
 
-  // The servers cost as much processor time as all before them, which clients would wait for.
-  private void startEndpoints() throws IOException {
-    HttpEndpoint.start(settings.readiness(), "/", () -> ready && !isolated ? EMPTY_BODY : null);
-    Endpoint stateEndpoint = Endpoint.of(settings.address(), settings.statePort());
-    HttpEndpoint.start(stateEndpoint, PeerStateClient.PATH, keeper::encoded);
-    metrics.serve(Endpoint.of(settings.address(), settings.metricsPort()), log);
+  // The servers cost as much processor time as all before them, which clients would wait for: they
+  // start when there is a state, and on a thread of their own, since what is due can't wait for them.
+  private void startEndpoints() {
+    try {
+      long deadlineMs = MonotonicClock.nowMs() + ENDPOINTS_WITHIN_MS;
+      while (!ready && MonotonicClock.nowMs() < deadlineMs) {
+        Thread.sleep(TICK_MS);
+      }
+      HttpEndpoint.start(settings.readiness(), "/", () -> ready && !isolated ? EMPTY_BODY : null);
+      Endpoint stateEndpoint = Endpoint.of(settings.address(), settings.statePort());
+      HttpEndpoint.start(stateEndpoint, PeerStateClient.PATH, keeper::encoded);
+      metrics.serve(Endpoint.of(settings.address(), settings.metricsPort()), log);
+    } catch (IOException e) {
+      log.event("endpoint-failed", "detail", e.toString());
+      endpointFailure = e;
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
   }
 
   @Override
@@ -132,12 +146,16 @@
 
   @Override
   public void run() throws InterruptedException, IOException {
-    awaitReady();
-    startEndpoints();
+    Thread endpoints = new Thread(this::startEndpoints, "endpoints");
+    endpoints.setDaemon(true);
+    endpoints.start();
     long nextBeaconMs = 0;
     long nextSweepMs = 0;
     while (!hasStopped(MonotonicClock.nowMs())) {
       Thread.sleep(TICK_MS);
+      if (endpointFailure != null) {
+        throw endpointFailure;
+      }
       long nowMs = MonotonicClock.nowMs();
       balancer.onTick(nowMs);
       if (nowMs >= nextBeaconMs) {
@@ -154,14 +172,6 @@
     log.event("stopped", "flows", balancer.flowCount());
   }
 
-  private void awaitReady() throws InterruptedException {
-    long deadlineMs = MonotonicClock.nowMs() + ENDPOINTS_WITHIN_MS;
-    while (!ready && !stopping && MonotonicClock.nowMs() < deadlineMs) {
-      Thread.sleep(TICK_MS);
-      balancer.onTick(MonotonicClock.nowMs());
-    }
-  }
-
   // A balancer that hears no agent, and few other balancers, is cut off: its clients do better
   // elsewhere. If the other balancers are there, it is the agents that are away.
   private void checkIsolation(long nowMs) {
