Ask for several flows with one datagram

Change: FlowQuestions gathers them by node; the first goes at once, those that follow within 20 ms together, up to 80 flows a datagram. The time to wait for answers grows from 40 to 60 ms.

--- a/core/src/main/java/io/moorstage/core/transparent/BalancerActions.java
+++ b/core/src/main/java/io/moorstage/core/transparent/BalancerActions.java
@@ -21,9 +21,14 @@
       int timeoutMs,
       ByteBuffer datagram);
 
-  /** Asks an agent or another balancer what it knows of a flow. */
+  /**
+   * Asks an agent or another balancer what it knows of a flow, at the latest with {@link #flush}.
+   */
   void ask(int peerAddress, FlowId flow);
 
+  /** Sends the questions that have been gathered. */
+  void flush();
+
   /** Asks all other balancers, up to a bound, what they know of a flow. */
   void askBalancers(FlowId flow);
 
--- a/core/src/main/java/io/moorstage/core/transparent/FlowBalancer.java
+++ b/core/src/main/java/io/moorstage/core/transparent/FlowBalancer.java
@@ -13,6 +13,7 @@
   private static final int EARLY_MEMORY_MS = 1_000;
 
   private final ForwardingPolicy policy;
+  private final BalancerActions actions;
   private final BalancerTables tables;
   private final FlowOpener opener;
   private final FlowLocator locator;
@@ -32,6 +33,7 @@
   public FlowBalancer(
       ForwardingPolicy policy, BalancerActions actions, DecisionLog log, long nowMs) {
     this.policy = policy;
+    this.actions = actions;
     this.tables = new BalancerTables(policy, actions, nowMs);
     this.opener = new FlowOpener(policy, actions, log, tables);
     this.locator = new FlowLocator(policy, actions, log, tables);
@@ -175,6 +177,7 @@
   public synchronized void onTick(long nowMs) {
     locator.onTick(nowMs);
     opener.onTick(nowMs);
+    actions.flush();
   }
 
   /** Forgets flows that have ended or rested for long; called about once a second. */
--- a/core/src/main/java/io/moorstage/core/transparent/ForwardingPolicy.java
+++ b/core/src/main/java/io/moorstage/core/transparent/ForwardingPolicy.java
@@ -47,6 +47,6 @@
   /** Values for a deployment whose flows live up to a minute. */
   public static final ForwardingPolicy STANDARD =
       new ForwardingPolicy(
-          40, 1_400, 150, 30, 4, 400, 1_200, 1_500, 1_800, 350, 900, 900, 80, 1_000, 5_000, 65_000,
+          60, 1_400, 150, 30, 4, 400, 1_200, 1_500, 1_800, 350, 900, 900, 80, 1_000, 5_000, 65_000,
           70_000);
 }
--- a/core/src/test/java/io/moorstage/core/transparent/Fleet.java
+++ b/core/src/test/java/io/moorstage/core/transparent/Fleet.java
@@ -88,6 +88,11 @@
       asked.add(peerAddress);
     }
 
+    @Override
+    public void flush() {
+      done.add("flush");
+    }
+
     @Override
     public void askBalancers(FlowId flow) {
       done.add("ask-balancers");
--- a/forwarding/src/main/java/io/moorstage/forwarding/AgentDaemon.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/AgentDaemon.java
@@ -12,6 +12,8 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Locale;
 
 /** Runs beside a target: hands it the segments of its flows and sends its answers to clients. */
@@ -209,7 +211,7 @@
     } else if (message instanceof PeerMessage.Forward forward) {
       onForward(sourceAddress, forward, nowMs);
     } else if (message instanceof PeerMessage.Ask ask) {
-      answer(sourceAddress, ask.flow(), nowMs);
+      answer(sourceAddress, ask, nowMs);
     } else if (message instanceof PeerMessage.BalancerBeacon beacon) {
       onBalancerBeacon(sourceAddress, beacon, nowMs);
     } else if (message instanceof PeerMessage.AgentBeacon beacon) {
@@ -245,10 +247,14 @@
     }
   }
 
-  private void answer(int balancer, FlowId flow, long nowMs) {
-    FlowKnowledge knowledge = agent.onAsked(flow, nowMs);
+  private void answer(int balancer, PeerMessage.Ask ask, long nowMs) {
+    List<PeerMessage.FlowAnswer> known = new ArrayList<>(ask.flows().size());
+    for (FlowId flow : ask.flows()) {
+      FlowKnowledge knowledge = agent.onAsked(flow, nowMs);
+      known.add(new PeerMessage.FlowAnswer(flow, knowledge, settings.address()));
+    }
     ByteBuffer buffer = ByteBuffer.allocate(PeerMessageCodec.MAX_BYTES);
-    PeerMessageCodec.encode(new PeerMessage.Answer(flow, knowledge, settings.address()), buffer);
+    PeerMessageCodec.encode(new PeerMessage.Answer(known), buffer);
     peerPort.send(buffer.flip(), peers.get(balancer));
   }
 
--- a/forwarding/src/main/java/io/moorstage/forwarding/BalancerDaemon.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/BalancerDaemon.java
@@ -14,6 +14,8 @@
 import io.moorstage.core.transparent.TargetRecord;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
 import javax.annotation.Nullable;
 
 /** Takes clients' segments and forwards each to the agent beside the flow's target. */
@@ -286,10 +288,12 @@
     } else if (message instanceof PeerMessage.GiveBack giveBack) {
       onGiveBack(sourceAddress, giveBack, nowMs);
     } else if (message instanceof PeerMessage.Answer answer) {
-      balancer.onKnowledge(
-          sourceAddress, answer.flow(), answer.knowledge(), answer.targetAddress(), nowMs);
+      for (PeerMessage.FlowAnswer known : answer.flows()) {
+        balancer.onKnowledge(
+            sourceAddress, known.flow(), known.knowledge(), known.targetAddress(), nowMs);
+      }
     } else if (message instanceof PeerMessage.Ask ask) {
-      answer(sourceAddress, ask.flow());
+      answer(sourceAddress, ask);
     } else if (message instanceof PeerMessage.BalancerBeacon beacon) {
       onBalancerBeacon(sourceAddress, beacon, nowMs);
     } else if (message instanceof PeerMessage.AgentBeacon beacon) {
@@ -319,10 +323,16 @@
         nowMs);
   }
 
-  private void answer(int peerAddress, FlowId flow) {
-    int target = balancer.knownTarget(flow);
-    if (target != 0) {
-      send(new PeerMessage.Answer(flow, FlowKnowledge.KNOWN_ELSEWHERE, target), peerAddress);
+  private void answer(int peerAddress, PeerMessage.Ask ask) {
+    List<PeerMessage.FlowAnswer> known = new ArrayList<>(0);
+    for (FlowId flow : ask.flows()) {
+      int target = balancer.knownTarget(flow);
+      if (target != 0) {
+        known.add(new PeerMessage.FlowAnswer(flow, FlowKnowledge.KNOWN_ELSEWHERE, target));
+      }
+    }
+    if (!known.isEmpty()) {
+      send(new PeerMessage.Answer(known), peerAddress);
     }
   }
 
@@ -350,6 +360,8 @@
 
   /** Carries out decisions; called under the balancer's lock, which guards {@link #out} too. */
   private final class Actions implements BalancerActions {
+    private final FlowQuestions questions = new FlowQuestions(TICK_MS, this::sendOut);
+
     @Override
     public void forward(
         int agentAddress, String service, long version, int timeoutMs, ByteBuffer datagram) {
@@ -364,7 +376,12 @@
 
     @Override
     public void ask(int peerAddress, FlowId flow) {
-      sendOut(new PeerMessage.Ask(flow), peerAddress);
+      questions.ask(peerAddress, flow, MonotonicClock.nowMs());
+    }
+
+    @Override
+    public void flush() {
+      questions.flush(MonotonicClock.nowMs());
     }
 
     @Override
--- a/forwarding/src/main/java/io/moorstage/forwarding/PeerMessage.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/PeerMessage.java
@@ -5,6 +5,7 @@
 import io.moorstage.core.transparent.ReturnReason;
 import io.moorstage.core.transparent.TargetPhase;
 import java.nio.ByteBuffer;
+import java.util.List;
 import javax.annotation.Nullable;
 
 /** A datagram that balancers and agents send to each other. */
@@ -32,20 +33,27 @@
       implements PeerMessage {}
 
   /**
-   * A balancer asks for a flow.
+   * A balancer asks for flows.
    *
-   * @param flow the flow
+   * @param flows at most {@link PeerMessageCodec#MAX_FLOWS}
    */
-  record Ask(FlowId flow) implements PeerMessage {}
+  record Ask(List<FlowId> flows) implements PeerMessage {}
 
   /**
    * The answer to {@link Ask}.
    *
+   * @param flows what the answering node knows of each flow, or of some of them
+   */
+  record Answer(List<FlowAnswer> flows) implements PeerMessage {}
+
+  /**
+   * What a node knows of a flow.
+   *
    * @param flow the flow
    * @param knowledge what the answering node knows
    * @param targetAddress the machine of the target that holds the flow, 0 if unknown
    */
-  record Answer(FlowId flow, FlowKnowledge knowledge, int targetAddress) implements PeerMessage {}
+  record FlowAnswer(FlowId flow, FlowKnowledge knowledge, int targetAddress) {}
 
   /**
    * A balancer tells that it lives.
--- a/forwarding/src/main/java/io/moorstage/forwarding/PeerMessageCodec.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/PeerMessageCodec.java
@@ -7,6 +7,8 @@
 import java.nio.BufferUnderflowException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import javax.annotation.Nullable;
 
 /**
@@ -18,6 +20,11 @@
   /** The largest message, in bytes: the largest segment and what precedes it. */
   public static final int MAX_BYTES = 2_048;
 
+  /**
+   * The most flows that a question or an answer carries: such a datagram is not split on its way.
+   */
+  public static final int MAX_FLOWS = 80;
+
   /** The most addresses that a beacon carries. */
   public static final int MAX_ADDRESSES = 64;
 
@@ -44,12 +51,16 @@
       out.put(GIVE_BACK).put((byte) giveBack.reason().ordinal());
       out.putLong(giveBack.configurationVersion()).put(giveBack.datagram().duplicate());
     } else if (message instanceof PeerMessage.Ask ask) {
-      out.put(ASK);
-      putFlow(ask.flow(), out);
+      out.put(ASK).put((byte) ask.flows().size());
+      for (FlowId flow : ask.flows()) {
+        putFlow(flow, out);
+      }
     } else if (message instanceof PeerMessage.Answer answer) {
-      out.put(ANSWER);
-      putFlow(answer.flow(), out);
-      out.put((byte) answer.knowledge().ordinal()).putInt(answer.targetAddress());
+      out.put(ANSWER).put((byte) answer.flows().size());
+      for (PeerMessage.FlowAnswer known : answer.flows()) {
+        putFlow(known.flow(), out);
+        out.put((byte) known.knowledge().ordinal()).putInt(known.targetAddress());
+      }
     } else if (message instanceof PeerMessage.BalancerBeacon beacon) {
       out.put(BALANCER_BEACON).putLong(beacon.revision());
       putText(beacon.zone(), out);
@@ -110,12 +121,9 @@
         long version = in.getLong();
         return reason == null ? null : new PeerMessage.GiveBack(reason, version, in.slice());
       case ASK:
-        return new PeerMessage.Ask(getFlow(in));
+        return decodeAsk(in);
       case ANSWER:
-        FlowId flow = getFlow(in);
-        FlowKnowledge knowledge = FlowKnowledge.ofNumber(in.get());
-        int targetAddress = in.getInt();
-        return knowledge == null ? null : new PeerMessage.Answer(flow, knowledge, targetAddress);
+        return decodeAnswer(in);
       case BALANCER_BEACON:
         return decodeBalancerBeacon(in);
       case AGENT_BEACON:
@@ -126,6 +134,35 @@
     }
   }
 
+  @Nullable
+  private static PeerMessage decodeAsk(ByteBuffer in) {
+    int count = in.get() & BYTE_MASK;
+    if (count > MAX_FLOWS) {
+      return null;
+    }
+    List<FlowId> flows = new ArrayList<>(count);
+    for (int i = 0; i < count; i++) {
+      flows.add(getFlow(in));
+    }
+    return new PeerMessage.Ask(flows);
+  }
+
+  @Nullable
+  private static PeerMessage decodeAnswer(ByteBuffer in) {
+    int count = in.get() & BYTE_MASK;
+    List<PeerMessage.FlowAnswer> flows = new ArrayList<>(count);
+    for (int i = 0; i < count; i++) {
+      FlowId flow = getFlow(in);
+      FlowKnowledge knowledge = FlowKnowledge.ofNumber(in.get());
+      int targetAddress = in.getInt();
+      if (knowledge == null) {
+        return null;
+      }
+      flows.add(new PeerMessage.FlowAnswer(flow, knowledge, targetAddress));
+    }
+    return new PeerMessage.Answer(flows);
+  }
+
   @Nullable
   private static PeerMessage decodeBalancerBeacon(ByteBuffer in) {
     long revision = in.getLong();
--- a/forwarding/src/test/java/io/moorstage/forwarding/PeerMessageCodecTest.java
+++ b/forwarding/src/test/java/io/moorstage/forwarding/PeerMessageCodecTest.java
@@ -7,6 +7,8 @@
 import io.moorstage.core.transparent.ReturnReason;
 import io.moorstage.core.transparent.TargetPhase;
 import java.nio.ByteBuffer;
+import java.util.Collections;
+import java.util.List;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.Size;
@@ -14,6 +16,7 @@
 
 class PeerMessageCodecTest {
   private static final FlowId FLOW = new FlowId(0x64400007, 40_001, 0xC6120001, 443);
+  private static final FlowId OTHER_FLOW = new FlowId(0x64400008, 40_002, 0xC6120001, 443);
 
   private static PeerMessage throughTheWire(PeerMessage message) {
     ByteBuffer buffer = ByteBuffer.allocate(PeerMessageCodec.MAX_BYTES);
@@ -45,12 +48,35 @@
 
   @Test
   void questionAndAnswerComeThrough() {
-    PeerMessage ask = new PeerMessage.Ask(FLOW);
-    PeerMessage answer = new PeerMessage.Answer(FLOW, FlowKnowledge.HELD, 7);
+    PeerMessage ask = new PeerMessage.Ask(List.of(FLOW, OTHER_FLOW));
+    PeerMessage answer =
+        new PeerMessage.Answer(
+            List.of(
+                new PeerMessage.FlowAnswer(FLOW, FlowKnowledge.HELD, 7),
+                new PeerMessage.FlowAnswer(OTHER_FLOW, FlowKnowledge.UNKNOWN, 8)));
     assertThat(throughTheWire(ask)).isEqualTo(ask);
     assertThat(throughTheWire(answer)).isEqualTo(answer);
   }
 
+  @Test
+  void largestQuestionAndAnswerFitIntoADatagram() {
+    PeerMessage ask = new PeerMessage.Ask(Collections.nCopies(PeerMessageCodec.MAX_FLOWS, FLOW));
+    PeerMessage.FlowAnswer known = new PeerMessage.FlowAnswer(FLOW, FlowKnowledge.HELD, 7);
+    PeerMessage answer =
+        new PeerMessage.Answer(Collections.nCopies(PeerMessageCodec.MAX_FLOWS, known));
+    assertThat(throughTheWire(ask)).isEqualTo(ask);
+    assertThat(throughTheWire(answer)).isEqualTo(answer);
+  }
+
+  @Test
+  void questionForMoreFlowsThanAnAnswerHoldsIsNone() {
+    ByteBuffer buffer = ByteBuffer.allocate(PeerMessageCodec.MAX_BYTES);
+    PeerMessage ask =
+        new PeerMessage.Ask(Collections.nCopies(PeerMessageCodec.MAX_FLOWS + 1, FLOW));
+    PeerMessageCodec.encode(ask, buffer);
+    assertThat(PeerMessageCodec.decode(buffer.flip())).isNull();
+  }
+
   @Test
   void beaconsComeThrough() {
     PeerMessage.BalancerBeacon read =
--- a/lab/src/main/java/io/moorstage/lab/bench/TransparentFlows.java
+++ b/lab/src/main/java/io/moorstage/lab/bench/TransparentFlows.java
@@ -109,6 +109,9 @@
     @Override
     public void ask(int peerAddress, FlowId flow) {}
 
+    @Override
+    public void flush() {}
+
     @Override
     public void askBalancers(FlowId flow) {}
 
