Let agents tell of items that could not be read, since they read the source too

RealProcessesTest failed for it: the balancer had taken the state over from the agent, which had met the unusable item and told nobody.

--- a/forwarding/src/main/java/io/moorstage/forwarding/AgentDaemon.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/AgentDaemon.java
@@ -73,6 +73,7 @@
     metrics.gauge(ForwardingGauge.REQUESTS, agent::busyFlows);
     metrics.gauge(ForwardingGauge.BALANCERS, () -> balancers.live(MonotonicClock.nowMs()).length);
     metrics.gauge(ForwardingGauge.STATE_REVISION, () -> copyRevision);
+    metrics.gauge(ForwardingGauge.UNUSABLE_ITEMS, source::unusableItems);
     metrics.gauge(ForwardingGauge.LINES_LEFT_OUT, log::linesLeftOut);
   }
 
