Let what a start needs last wait until the processor is free

Cause: after the first state, servers and the first call to the source take some 80 ms of processor time, half a second at 0.165 cores, in which each datagram waits 150 to 480 ms.

Change: ProcessorLag tells from the lateness of the regular task whether the processor is free. Servers wait for that up to 1.5 s, a confirmation of a peer's state up to 0.7 s. A start waits 120 ms, not 250, for a peer's state.

--- a/forwarding/src/main/java/io/moorstage/forwarding/BalancerDaemon.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/BalancerDaemon.java
@@ -24,6 +24,10 @@
   private static final int BEACON_MS = 500;
   private static final int SWEEP_MS = 1_000;
   private static final int ENDPOINTS_WITHIN_MS = 3_000;
+
+  /** Routers send to a node that is not ready only if none is: then requests are worth more. */
+  private static final int ENDPOINTS_AFTER_READY_MS = 1_500;
+
   private static final int ISOLATED_AFTER_MS = 1_300;
   private static final int MEMBERSHIP_MS = 20_000;
   private static final int CONFIRMED_FOR_MS = 2_500;
@@ -45,6 +49,7 @@
   private final SourceFollower follower;
   private final PeerStateFetcher fetcher;
   private final StateLag lag = new StateLag();
+  private final ProcessorLag processorLag = new ProcessorLag();
   private final StateChangeLog changes;
   private final BalancerBeacons beacons;
   private final ByteBuffer out = ByteBuffer.allocateDirect(PeerMessageCodec.MAX_BYTES);
@@ -73,7 +78,8 @@
     this.changes = new StateChangeLog(log);
     this.beacons = new BalancerBeacons(settings.zone(), balancers, peers, metrics);
     this.clients = new AddressCache(settings.clientEndpoint().port());
-    this.follower = new SourceFollower(source, keeper, this::onConfirmed, log, metrics);
+    this.follower =
+        new SourceFollower(source, keeper, this::onConfirmed, processorLag, log, metrics);
     PeerStateClient client = new PeerStateClient(settings.statePort());
     this.fetcher = new PeerStateFetcher(client, this::onPeerState, log);
     nameGauges(source);
@@ -127,6 +133,7 @@
       while (!ready && MonotonicClock.nowMs() < deadlineMs) {
         Thread.sleep(TICK_MS);
       }
+      processorLag.awaitCalm(ENDPOINTS_AFTER_READY_MS);
       HttpEndpoint.start(settings.readiness(), "/", () -> ready && !isolated ? EMPTY_BODY : null);
       Endpoint stateEndpoint = Endpoint.of(settings.address(), settings.statePort());
       HttpEndpoint.start(stateEndpoint, PeerStateClient.PATH, keeper::encoded);
@@ -154,12 +161,14 @@
     endpoints.start();
     long nextBeaconMs = 0;
     long nextSweepMs = 0;
+    long ranAtMs = MonotonicClock.nowMs();
     while (!hasStopped(MonotonicClock.nowMs())) {
       Thread.sleep(TICK_MS);
       if (endpointFailure != null) {
         throw endpointFailure;
       }
       long nowMs = MonotonicClock.nowMs();
+      processorLag.ran(nowMs - ranAtMs - TICK_MS);
       balancer.onTick(nowMs);
       if (nowMs >= nextBeaconMs) {
         nextBeaconMs = nowMs + BEACON_MS;
@@ -171,6 +180,7 @@
       }
       catchUpIfBehind(nowMs);
       checkIsolation(nowMs);
+      ranAtMs = MonotonicClock.nowMs();
     }
     log.event("stopped", "flows", balancer.flowCount());
   }
--- a/forwarding/src/main/java/io/moorstage/forwarding/SourceFollower.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/SourceFollower.java
@@ -17,7 +17,10 @@
    * How long a start waits for a peer's state: agents tell of theirs every 100 ms while they start
    * too. To take one over costs a tenth of the processor time of reading the source.
    */
-  private static final int PEER_FIRST_MS = 250;
+  private static final int PEER_FIRST_MS = 120;
+
+  /** How long a peer's state may go unconfirmed while this node works off a queue of requests. */
+  private static final int CONFIRM_WITHIN_MS = 700;
 
   private static final int PEER_POLL_MS = 10;
 
@@ -28,6 +31,7 @@
   private final StateKeeper keeper;
   private final EventLog log;
   private final ConfirmationListener listener;
+  private final ProcessorLag processorLag;
   private final ForwardingMetrics metrics;
   private boolean complete;
   private boolean confirmed;
@@ -44,11 +48,13 @@
       StateSource source,
       StateKeeper keeper,
       ConfirmationListener listener,
+      ProcessorLag processorLag,
       EventLog log,
       ForwardingMetrics metrics) {
     this.source = source;
     this.keeper = keeper;
     this.listener = listener;
+    this.processorLag = processorLag;
     this.log = log;
     this.metrics = metrics;
   }
@@ -88,7 +94,11 @@
     while (keeper.state().revision() == 0 && MonotonicClock.nowMs() < deadlineMs) {
       Thread.sleep(PEER_POLL_MS);
     }
-    return keeper.state().revision() > 0;
+    boolean told = keeper.state().revision() > 0;
+    if (told) {
+      processorLag.awaitCalm(CONFIRM_WITHIN_MS);
+    }
+    return told;
   }
 
   private void step() throws StateSourceException {
