--- a/core/src/main/java/io/moorstage/core/transparent/FlowOpener.java
+++ b/core/src/main/java/io/moorstage/core/transparent/FlowOpener.java
@@ -13,12 +13,6 @@
   private static final int MAX_WAITING_OPENS = 512;
   private static final int CONFIGURATION_WAIT_MS = 180;
 
-  /**
-   * Clients repeat an opening segment after 200 ms. A copy that is handled sooner than this after
-   * the one before it has waited in a queue with it, and tells nothing about the target.
-   */
-  private static final int COPY_GAP_MS = 120;
-
   private final ForwardingPolicy policy;
   private final BalancerActions actions;
   private final DecisionLog log;
@@ -86,9 +80,6 @@
     flow.lastUsedMs = nowMs;
     if (flow.target == null || flow.location != null) {
       place(flow, segment, datagram, "copy", nowMs);
-    } else if (nowMs - flow.openedAtMs < COPY_GAP_MS) {
-      log.decided(
-          Decision.REPEATED, flow.id, flow.target.address(), "queued", tables.ageOfState(nowMs));
     } else if (flow.answered || mayRepeat(flow, nowMs) || !hasOther(flow, nowMs)) {
       log.decided(
           Decision.REPEATED, flow.id, flow.target.address(), "copy", tables.ageOfState(nowMs));
