--- a/forwarding/src/main/java/io/moorstage/forwarding/BalancerBeacons.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/BalancerBeacons.java
@@ -5,6 +5,7 @@
 import io.moorstage.core.transparent.TargetRecord;
 import java.nio.ByteBuffer;
 import java.util.Map;
+import java.util.function.LongToIntFunction;
 import javax.annotation.Nullable;
 
 /**
@@ -16,14 +17,26 @@
   private final PeerDirectory balancers;
   private final AddressCache peers;
   private final ForwardingMetrics metrics;
+  private final LongToIntFunction confirmedAgeMs;
   private final ByteBuffer out = ByteBuffer.allocateDirect(PeerMessageCodec.MAX_BYTES);
   @Nullable private UdpPort port;
 
+  /**
+   * Creates beacons.
+   *
+   * @param confirmedAgeMs from the time of a beacon, how long ago the source confirmed the state;
+   *     negative if this node does not read it
+   */
   BalancerBeacons(
-      String zone, PeerDirectory balancers, AddressCache peers, ForwardingMetrics metrics) {
+      String zone,
+      PeerDirectory balancers,
+      AddressCache peers,
+      LongToIntFunction confirmedAgeMs,
+      ForwardingMetrics metrics) {
     this.zone = zone;
     this.balancers = balancers;
     this.peers = peers;
+    this.confirmedAgeMs = confirmedAgeMs;
     this.metrics = metrics;
   }
 
@@ -37,11 +50,11 @@
     int[] live = balancers.live(nowMs);
     Map<Integer, TargetRecord> agents = state.targetsByAddress();
     for (Map.Entry<Integer, TargetRecord> agent : agents.entrySet()) {
-      send(agent.getKey(), state.revision(), agent.getValue(), live);
+      send(agent.getKey(), state.revision(), agent.getValue(), live, nowMs);
     }
     for (int peer : balancers.known(nowMs)) {
       if (!agents.containsKey(peer)) {
-        send(peer, state.revision(), null, live);
+        send(peer, state.revision(), null, live, nowMs);
       }
     }
   }
@@ -51,25 +64,27 @@
   synchronized void sendToBalancers(FleetState state, long nowMs) {
     int[] live = balancers.live(nowMs);
     for (int peer : live) {
-      send(peer, state.revision(), null, live);
+      send(peer, state.revision(), null, live, nowMs);
     }
   }
 
   /** Sends a beacon to one node. */
   synchronized void sendTo(int peer, FleetState state, long nowMs) {
     TargetRecord target = state.targetsByAddress().get(peer);
-    send(peer, state.revision(), target, balancers.live(nowMs));
+    send(peer, state.revision(), target, balancers.live(nowMs), nowMs);
   }
 
-  private void send(int address, long revision, @Nullable TargetRecord target, int[] live) {
+  private void send(
+      int address, long revision, @Nullable TargetRecord target, int[] live, long nowMs) {
     if (port == null) {
       return;
     }
     TargetPhase phase = target == null ? null : target.phase();
     int capacity = target == null ? 0 : target.capacity();
     out.clear();
+    int ageMs = confirmedAgeMs.applyAsInt(nowMs);
     PeerMessageCodec.encode(
-        new PeerMessage.BalancerBeacon(revision, zone, phase, capacity, live), out);
+        new PeerMessage.BalancerBeacon(revision, zone, phase, capacity, ageMs, live), out);
     metrics.add(ForwardingCounter.BEACON_BYTES, out.position());
     port.send(out.flip(), peers.get(address));
   }
--- a/forwarding/src/main/java/io/moorstage/forwarding/BalancerDaemon.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/BalancerDaemon.java
@@ -52,6 +52,7 @@
   private final ProcessorLag processorLag = new ProcessorLag();
   private final StateChangeLog changes;
   private final BalancerBeacons beacons;
+  private final SourceReaders readers;
   private final ByteBuffer out = ByteBuffer.allocateDirect(PeerMessageCodec.MAX_BYTES);
   private UdpPort clientPort;
   private UdpPort peerPort;
@@ -76,10 +77,12 @@
     this.balancers = new PeerDirectory(settings.address());
     this.peers = new AddressCache(settings.peerPort());
     this.changes = new StateChangeLog(log);
-    this.beacons = new BalancerBeacons(settings.zone(), balancers, peers, metrics);
+    this.readers = new SourceReaders(settings.address(), settings.zone());
+    this.beacons =
+        new BalancerBeacons(settings.zone(), balancers, peers, this::confirmedAgeMs, metrics);
     this.clients = new AddressCache(settings.clientEndpoint().port());
     this.follower =
-        new SourceFollower(source, keeper, this::onConfirmed, processorLag, log, metrics);
+        new SourceFollower(source, keeper, this::onConfirmed, processorLag, readers, log, metrics);
     PeerStateClient client = new PeerStateClient(settings.statePort());
     this.fetcher = new PeerStateFetcher(client, this::onPeerState, log);
     nameGauges(source);
@@ -235,9 +238,26 @@
     }
   }
 
-  private void onConfirmed(long nowMs) {
-    confirmedAtMs = nowMs;
-    balancer.onConfirmed(nowMs + CONFIRMED_FOR_MS);
+  /** The source, or a peer that reads it, has confirmed at some time that the state was current. */
+  private void onConfirmed(long atMs) {
+    if (atMs > confirmedAtMs) {
+      confirmedAtMs = atMs;
+      balancer.onConfirmed(atMs + CONFIRMED_FOR_MS);
+    }
+  }
+
+  private int confirmedAgeMs(long nowMs) {
+    boolean confirmed = follower.isAnswering() && confirmedAtMs > 0;
+    return confirmed ? (int) Math.min(nowMs - confirmedAtMs, Integer.MAX_VALUE) : -1;
+  }
+
+  // A peer whose state the source has confirmed, and which knows nothing newer, confirms ours.
+  private void noteReader(int peer, PeerMessage.BalancerBeacon beacon, long nowMs) {
+    int ageMs = beacon.confirmedAgeMs();
+    readers.heard(peer, beacon.zone(), ageMs, nowMs);
+    if (ageMs >= 0 && beacon.revision() <= keeper.state().revision()) {
+      onConfirmed(nowMs - ageMs);
+    }
   }
 
   private void onPeerState(int peerAddress, byte[] encoded) throws StateSourceException {
@@ -349,6 +369,7 @@
   private void onBalancerBeacon(int peer, PeerMessage.BalancerBeacon beacon, long nowMs) {
     boolean appeared = balancers.heard(peer, nowMs);
     learn(beacon.balancers(), nowMs);
+    noteReader(peer, beacon, nowMs);
     noteRevision(peer, beacon.revision(), nowMs);
     if (appeared) {
       log.event("balancer-heard", "peer", Endpoint.of(peer, 0).host());
--- a/forwarding/src/main/java/io/moorstage/forwarding/PeerMessage.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/PeerMessage.java
@@ -62,10 +62,17 @@
    * @param zone the balancer's zone
    * @param phase how far the receiving agent's target is in its life, or null if not known
    * @param capacity the requests that this target works on at a time, 0 if not known
+   * @param confirmedAgeMs how long ago the source confirmed the state; negative if the balancer
+   *     does not read the source, or is not answered
    * @param balancers addresses of balancers that it has heard from
    */
   record BalancerBeacon(
-      long revision, String zone, @Nullable TargetPhase phase, int capacity, int[] balancers)
+      long revision,
+      String zone,
+      @Nullable TargetPhase phase,
+      int capacity,
+      int confirmedAgeMs,
+      int[] balancers)
       implements PeerMessage {}
 
   /**
--- a/forwarding/src/main/java/io/moorstage/forwarding/PeerMessageCodec.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/PeerMessageCodec.java
@@ -66,7 +66,7 @@
       putText(beacon.zone(), out);
       TargetPhase phase = beacon.phase();
       out.put((byte) (phase == null ? NO_PHASE : phase.ordinal()));
-      out.putInt(beacon.capacity());
+      out.putInt(beacon.capacity()).putInt(beacon.confirmedAgeMs());
       putAddresses(beacon.balancers(), out);
     } else if (message instanceof PeerMessage.AgentBeacon beacon) {
       out.put(AGENT_BEACON);
@@ -173,7 +173,8 @@
       return null;
     }
     TargetPhase phase = phaseNumber == NO_PHASE ? null : phases[phaseNumber];
-    return new PeerMessage.BalancerBeacon(revision, zone, phase, in.getInt(), getAddresses(in));
+    return new PeerMessage.BalancerBeacon(
+        revision, zone, phase, in.getInt(), in.getInt(), getAddresses(in));
   }
 
   private static String getText(ByteBuffer in) {
--- a/forwarding/src/main/java/io/moorstage/forwarding/SourceFollower.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/SourceFollower.java
@@ -23,6 +23,7 @@
   private static final int CONFIRM_WITHIN_MS = 700;
 
   private static final int PEER_POLL_MS = 10;
+  private static final int RESERVE_POLL_MS = 100;
 
   /** The first wait after a peer's state is short: until it ends, the state is not confirmed. */
   private static final int CONFIRMING_WAIT_MS = 20;
@@ -32,10 +33,12 @@
   private final EventLog log;
   private final ConfirmationListener listener;
   private final ProcessorLag processorLag;
+  private final SourceReaders readers;
   private final ForwardingMetrics metrics;
   private boolean complete;
   private boolean confirmed;
   private volatile boolean answering = true;
+  private volatile boolean reading = true;
   private int failures;
 
   /** Hears that the state was current at some time. */
@@ -49,19 +52,21 @@
       StateKeeper keeper,
       ConfirmationListener listener,
       ProcessorLag processorLag,
+      SourceReaders readers,
       EventLog log,
       ForwardingMetrics metrics) {
     this.source = source;
     this.keeper = keeper;
     this.listener = listener;
     this.processorLag = processorLag;
+    this.readers = readers;
     this.log = log;
     this.metrics = metrics;
   }
 
-  /** Returns whether the last call was answered. */
+  /** Returns whether this node reads the source, and the last call was answered. */
   boolean isAnswering() {
-    return answering;
+    return answering && reading;
   }
 
   void start() {
@@ -74,6 +79,10 @@
     try {
       complete = awaitPeerState();
       while (true) {
+        if (!decideToRead()) {
+          Thread.sleep(RESERVE_POLL_MS);
+          continue;
+        }
         try {
           step();
           succeeded();
@@ -101,6 +110,17 @@
     return told;
   }
 
+  // Without any state there is nothing to go on from, whoever else reads.
+  private boolean decideToRead() {
+    boolean mustRead = !complete || readers.mustRead(MonotonicClock.nowMs());
+    if (mustRead != reading) {
+      reading = mustRead;
+      confirmed = false;
+      log.event(mustRead ? "reads-source" : "leaves-source-to-peer");
+    }
+    return mustRead;
+  }
+
   private void step() throws StateSourceException {
     if (!complete) {
       FleetState reading = source.readAll();
--- a/forwarding/src/test/java/io/moorstage/forwarding/PeerMessageCodecTest.java
+++ b/forwarding/src/test/java/io/moorstage/forwarding/PeerMessageCodecTest.java
@@ -83,8 +83,9 @@
         (PeerMessage.BalancerBeacon)
             throughTheWire(
                 new PeerMessage.BalancerBeacon(
-                    8, "lac", TargetPhase.DRAINING, 5, new int[] {1, 2}));
+                    8, "lac", TargetPhase.DRAINING, 5, 120, new int[] {1, 2}));
     assertThat(read.phase()).isEqualTo(TargetPhase.DRAINING);
+    assertThat(read.confirmedAgeMs()).isEqualTo(120);
     assertThat(read.balancers()).asList().containsExactly(1, 2).inOrder();
 
     PeerMessage.AgentBeacon agent =
