--- a/core/src/main/java/io/moorstage/core/transparent/BalancerTables.java
+++ b/core/src/main/java/io/moorstage/core/transparent/BalancerTables.java
@@ -26,7 +26,7 @@
   private final long startedAtMs;
   private final Map<FlowId, BalancerFlow> flows = new HashMap<>();
   private final Map<Integer, HeardAgent> heardAgents = new HashMap<>();
-  private TargetPools pools = TargetPools.EMPTY;
+  private TargetPools pools;
   private FleetState state = FleetState.EMPTY;
   private long stateAtMs;
   private long firstStateAtMs = NEVER;
@@ -38,6 +38,7 @@
     this.policy = policy;
     this.actions = actions;
     this.startedAtMs = nowMs;
+    this.pools = TargetPools.empty(policy);
   }
 
   void takeState(FleetState newer, long nowMs) {
@@ -81,7 +82,8 @@
   @Nullable
   TargetPool candidatesOf(String service, long nowMs) {
     TargetPool listed = pools.ofService(service);
-    if (nowMs - firstStateAtMs > policy.unlistedMs()) {
+    boolean recent = nowMs - firstStateAtMs <= policy.unlistedMs();
+    if (!recent || !policy.uses(Mechanism.UNLISTED_TARGETS)) {
       return listed;
     }
     List<TargetSlot> unlisted = unlistedOf(service, listed, nowMs);
@@ -94,7 +96,7 @@
     if (listed != null) {
       slots.addAll(listed.slots());
     }
-    return new TargetPool(service, slots);
+    return new TargetPool(service, slots, policy);
   }
 
   private List<TargetSlot> unlistedOf(String service, @Nullable TargetPool listed, long nowMs) {
--- a/core/src/main/java/io/moorstage/core/transparent/FleetState.java
+++ b/core/src/main/java/io/moorstage/core/transparent/FleetState.java
@@ -94,6 +94,23 @@
         Math.max(revision, other.revision), newer ? other.configuration : configuration, merged);
   }
 
+  /**
+   * Returns what is newer here than at a node that knows another revision; to be merged there.
+   *
+   * @param knownRevision the revision up to which that node knows all
+   * @param knownVersion the version of the configuration that it has
+   */
+  public FleetState since(long knownRevision, long knownVersion) {
+    Map<String, TargetRecord> newer = new HashMap<>();
+    for (TargetRecord record : targets.values()) {
+      if (record.revision() > knownRevision) {
+        newer.put(record.id(), record);
+      }
+    }
+    boolean known = configuration.version() <= knownVersion;
+    return new FleetState(revision, known ? ForwardingConfiguration.NONE : configuration, newer);
+  }
+
   /**
    * Returns this state after a complete reading of the source: what is newer is taken over, and
    * targets that the reading does not list are gone.
--- a/core/src/main/java/io/moorstage/core/transparent/FlowAgent.java
+++ b/core/src/main/java/io/moorstage/core/transparent/FlowAgent.java
@@ -47,7 +47,7 @@
     this.actions = actions;
     this.log = log;
     this.startedAtMs = nowMs;
-    this.gate = new RequestGate(policy.requestTurnMs(), policy.requestWaitMs(), 0);
+    this.gate = new RequestGate(policy, 0);
   }
 
   /**
@@ -152,7 +152,7 @@
     boolean begins = segment.dataBytes() > 0 && !flow.busy && !flow.closed;
     // Where time is short, a request that waits is given up by its client and done in vain.
     boolean hasTime = timeoutMs >= MIN_TIMEOUT_IN_WAITS * policy.requestWaitMs();
-    if (!begins || !hasTime || gate.isOpen()) {
+    if (!begins || !hasTime || gate.isOpen() || !policy.uses(Mechanism.GATE)) {
       return false;
     }
     if (!noteClientData(flow, segment)) {
--- a/core/src/main/java/io/moorstage/core/transparent/FlowBalancer.java
+++ b/core/src/main/java/io/moorstage/core/transparent/FlowBalancer.java
@@ -105,7 +105,8 @@
   /** Takes a segment from a client. */
   public synchronized void onClientSegment(Segment segment, ByteBuffer datagram, long nowMs) {
     if (tables.configuration().version() == 0) {
-      if (earlySegments.size() < MAX_EARLY_SEGMENTS) {
+      boolean keeps = policy.uses(Mechanism.EARLY_SEGMENTS);
+      if (keeps && earlySegments.size() < MAX_EARLY_SEGMENTS) {
         earlySegments.add(new EarlySegment(segment, BalancerFlow.copyOf(datagram), nowMs));
       }
       return;
--- a/core/src/main/java/io/moorstage/core/transparent/ForwardingPolicy.java
+++ b/core/src/main/java/io/moorstage/core/transparent/ForwardingPolicy.java
@@ -1,5 +1,7 @@
 package io.moorstage.core.transparent;
 
+import java.util.Set;
+
 /**
  * The times and bounds that forwarding decides by.
  *
@@ -24,6 +26,7 @@
  * @param flowMemoryMs how long an unused flow is remembered; also how long an agent must have run
  *     before it knows all flows of its target
  * @param goneMemoryMs how long a target is remembered after the source has ceased to list it
+ * @param switchedOff mechanisms that an experiment does without; none in operation
  */
 public record ForwardingPolicy(
     int locateTimeoutMs,
@@ -42,11 +45,45 @@
     int suspicionMs,
     int closedLingerMs,
     int flowMemoryMs,
-    int goneMemoryMs) {
+    int goneMemoryMs,
+    Set<Mechanism> switchedOff) {
+
+  /** Creates a policy. */
+  public ForwardingPolicy {
+    switchedOff = Set.copyOf(switchedOff);
+  }
+
+  /** Returns whether a mechanism is on. */
+  public boolean uses(Mechanism mechanism) {
+    return !switchedOff.contains(mechanism);
+  }
+
+  /** Returns this policy with other mechanisms switched off. */
+  public ForwardingPolicy without(Set<Mechanism> mechanisms) {
+    return new ForwardingPolicy(
+        locateTimeoutMs,
+        searchMs,
+        searchPauseMs,
+        offerTimeoutMs,
+        maxHeldSegments,
+        openWaitMs,
+        learnMs,
+        unlistedMs,
+        agentSilenceMs,
+        requestTurnMs,
+        requestWaitMs,
+        requestForgetMs,
+        silenceMs,
+        suspicionMs,
+        closedLingerMs,
+        flowMemoryMs,
+        goneMemoryMs,
+        mechanisms);
+  }
 
   /** Values for a deployment whose flows live up to a minute. */
   public static final ForwardingPolicy STANDARD =
       new ForwardingPolicy(
           60, 1_400, 150, 30, 4, 400, 1_200, 1_500, 1_800, 350, 900, 900, 80, 1_000, 5_000, 65_000,
-          70_000);
+          70_000, Set.of());
 }
--- a/core/src/main/java/io/moorstage/core/transparent/RequestGate.java
+++ b/core/src/main/java/io/moorstage/core/transparent/RequestGate.java
@@ -19,6 +19,7 @@
   private static final int SPARE_REQUESTS = 2;
   private static final int STANDING_QUEUE_MS = 40;
 
+  private final ForwardingPolicy policy;
   private final int longWaitMs;
   private final int maxWaitMs;
   private final Deque<AgentFlow> newRequests = new ArrayDeque<>();
@@ -31,14 +32,16 @@
   /**
    * Creates an open gate.
    *
-   * @param longWaitMs after how long a request gets a turn before newer ones, in milliseconds
-   * @param maxWaitMs the longest that a request waits, in milliseconds
+   * @param policy after how long a request gets a turn before newer ones, and the longest that one
+   *     waits
    * @param capacity the requests that the target works on at a time; 0 if not known, which lets all
    *     pass
    */
-  RequestGate(int longWaitMs, int maxWaitMs, int capacity) {
-    this.longWaitMs = longWaitMs;
-    this.maxWaitMs = maxWaitMs;
+  RequestGate(ForwardingPolicy policy, int capacity) {
+    this.policy = policy;
+    this.longWaitMs =
+        policy.uses(Mechanism.LONG_WAIT_TURNS) ? policy.requestTurnMs() : Integer.MAX_VALUE;
+    this.maxWaitMs = policy.requestWaitMs();
     this.capacity = capacity;
   }
 
@@ -103,13 +106,14 @@
   }
 
   @Nullable
-  private static AgentFlow take(Deque<AgentFlow> queue, long nowMs) {
+  private AgentFlow take(Deque<AgentFlow> queue, long nowMs) {
     dropEnded(queue);
     AgentFlow oldest = queue.peekFirst();
     if (oldest == null) {
       return null;
     }
-    boolean standing = nowMs - oldest.waitingSinceMs > STANDING_QUEUE_MS;
+    boolean standing =
+        nowMs - oldest.waitingSinceMs > STANDING_QUEUE_MS && policy.uses(Mechanism.NEWEST_FIRST);
     AgentFlow flow = standing ? queue.pollLast() : queue.pollFirst();
     while (flow != null && flow.waiting == null) {
       flow = queue.pollLast();
--- a/core/src/main/java/io/moorstage/core/transparent/TargetPool.java
+++ b/core/src/main/java/io/moorstage/core/transparent/TargetPool.java
@@ -14,12 +14,14 @@
   private static final int REPORT_VALID_MS = 1_500;
   private static final double SLOW_START_FACTOR = 2.5;
 
+  private final ForwardingPolicy policy;
   private final String service;
   private final List<TargetSlot> slots;
 
   private final Map<Integer, TargetSlot> slotsByAddress = new HashMap<>();
 
-  TargetPool(String service, List<TargetSlot> slots) {
+  TargetPool(String service, List<TargetSlot> slots, ForwardingPolicy policy) {
+    this.policy = policy;
     this.service = service;
     this.slots = List.copyOf(slots);
     for (TargetSlot slot : slots) {
@@ -79,7 +81,7 @@
       if (slot.record().phase() != TargetPhase.READY || isAmong(tried, slot.address())) {
         continue;
       }
-      if (slot.isSuspect(nowMs) && !suspectsToo) {
+      if (!suspectsToo && slot.isSuspect(nowMs) && policy.uses(Mechanism.SUSPICION)) {
         continue;
       }
       if (first == null || ranksHigher(slot, first, flowHash)) {
@@ -89,7 +91,7 @@
         second = slot;
       }
     }
-    if (second == null) {
+    if (second == null || !policy.uses(Mechanism.TWO_CHOICES)) {
       return first;
     }
     return weightedLoad(second, nowMs) < weightedLoad(first, nowMs) ? second : first;
@@ -108,9 +110,10 @@
     return Long.compareUnsigned(slot.rank(flowHash), other.rank(flowHash)) > 0;
   }
 
-  private static double weightedLoad(TargetSlot slot, long nowMs) {
-    double load = slot.load(REPORT_VALID_MS, nowMs);
-    return slot.isSlow(nowMs) ? load * SLOW_START_FACTOR : load;
+  private double weightedLoad(TargetSlot slot, long nowMs) {
+    double load = slot.load(policy.uses(Mechanism.LOAD_REPORTS) ? REPORT_VALID_MS : -1, nowMs);
+    boolean slow = slot.isSlow(nowMs) && policy.uses(Mechanism.SLOW_START);
+    return slow ? load * SLOW_START_FACTOR : load;
   }
 
   /** Returns the targets in the order in which a flow of unknown place is looked for. */
--- a/core/src/main/java/io/moorstage/core/transparent/TargetPools.java
+++ b/core/src/main/java/io/moorstage/core/transparent/TargetPools.java
@@ -11,16 +11,24 @@
  * has followed there is none any more. Immutable but for the slots.
  */
 final class TargetPools {
-  static final TargetPools EMPTY = new TargetPools(new HashMap<>(), new HashMap<>());
-
+  private final ForwardingPolicy policy;
   private final Map<String, TargetSlot> slotsById;
   private final Map<String, TargetPool> poolsByService;
 
-  private TargetPools(Map<String, TargetSlot> slotsById, Map<String, TargetPool> poolsByService) {
+  private TargetPools(
+      ForwardingPolicy policy,
+      Map<String, TargetSlot> slotsById,
+      Map<String, TargetPool> poolsByService) {
+    this.policy = policy;
     this.slotsById = slotsById;
     this.poolsByService = poolsByService;
   }
 
+  /** Returns pools without any target. */
+  static TargetPools empty(ForwardingPolicy policy) {
+    return new TargetPools(policy, new HashMap<>(), new HashMap<>());
+  }
+
   /** Returns the pools of a newer state; targets that stay keep their slots. */
   TargetPools update(FleetState state, long nowMs) {
     Map<String, TargetSlot> slots = new HashMap<>();
@@ -37,9 +45,9 @@
     }
     Map<String, TargetPool> pools = new HashMap<>();
     for (Map.Entry<String, List<TargetSlot>> entry : members.entrySet()) {
-      pools.put(entry.getKey(), new TargetPool(entry.getKey(), entry.getValue()));
+      pools.put(entry.getKey(), new TargetPool(entry.getKey(), entry.getValue(), policy));
     }
-    return new TargetPools(slots, pools);
+    return new TargetPools(policy, slots, pools);
   }
 
   @Nullable
--- a/core/src/test/java/io/moorstage/core/transparent/FleetStatePropertiesTest.java
+++ b/core/src/test/java/io/moorstage/core/transparent/FleetStatePropertiesTest.java
@@ -37,7 +37,7 @@
         write(Fleet.listed(id, service, address, revision + 1));
         return;
       }
-      switch (random.nextInt(4)) {
+      switch (random.nextInt(5)) {
         case 0:
           lapseOfTheDead(address, living);
           break;
@@ -116,6 +116,9 @@
       case 2:
         // What a peer knows is complete as of its revision, as a reading is.
         return newer.replaceBy(peer);
+      case 3:
+        long version = newer.configuration().version();
+        return newer.revision() == 0 ? newer : newer.merge(peer.since(newer.revision(), version));
       default:
         for (StateChanges changes : history.after(newer.revision())) {
           newer = newer.apply(changes);
--- a/forwarding/src/main/java/io/moorstage/forwarding/AgentDaemon.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/AgentDaemon.java
@@ -5,7 +5,7 @@
 import io.moorstage.core.transparent.FlowAgent;
 import io.moorstage.core.transparent.FlowId;
 import io.moorstage.core.transparent.FlowKnowledge;
-import io.moorstage.core.transparent.ForwardingPolicy;
+import io.moorstage.core.transparent.Mechanism;
 import io.moorstage.core.transparent.ReturnReason;
 import io.moorstage.core.transparent.Segment;
 import io.moorstage.core.transparent.SegmentCodec;
@@ -61,13 +61,14 @@
     long nowMs = MonotonicClock.nowMs();
     this.metrics = new ForwardingMetrics(log);
     this.agent =
-        new FlowAgent(ForwardingPolicy.STANDARD, settings.service(), new Actions(), metrics, nowMs);
+        new FlowAgent(settings.policy(), settings.service(), new Actions(), metrics, nowMs);
     this.balancers = new PeerDirectory(settings.address());
     this.peers = new AddressCache(settings.peerPort());
     this.clients = new AddressCache(settings.clientEndpoint().port());
     this.target = UdpPort.socketAddress(settings.target().ipv4(), settings.target().port());
     PeerStateClient client = new PeerStateClient(settings.statePort());
-    this.fetcher = new PeerStateFetcher(client, this::onPeerState, log);
+    this.fetcher =
+        new PeerStateFetcher(client, () -> PeerStateQuery.NOTHING, this::onPeerState, log);
     this.firstReader = new FirstStateReader(source, this::isFleetHeard, this::takeCopy, log);
     metrics.gauge(ForwardingGauge.FLOWS, agent::flowCount);
     metrics.gauge(ForwardingGauge.REQUESTS, agent::busyFlows);
@@ -86,7 +87,9 @@
     reload(settings);
     sendBeacons(MonotonicClock.nowMs());
     fetcher.start();
-    firstReader.start();
+    if (settings.policy().uses(Mechanism.PEER_STATE_FIRST)) {
+      firstReader.start();
+    }
   }
 
   private boolean isFleetHeard() {
@@ -95,9 +98,9 @@
 
   // Not before the data path: the servers cost as much processor time as all else at the start.
   private void startEndpoints() throws IOException {
-    HttpEndpoint.start(settings.readiness(), "/", () -> stopping ? null : EMPTY_BODY);
+    HttpEndpoint.start(settings.readiness(), "/", query -> stopping ? null : EMPTY_BODY);
     Endpoint stateEndpoint = Endpoint.of(settings.address(), settings.statePort());
-    HttpEndpoint.start(stateEndpoint, PeerStateClient.PATH, () -> stateCopy);
+    HttpEndpoint.start(stateEndpoint, PeerStateClient.PATH, query -> stateCopy);
     metrics.serve(Endpoint.of(settings.address(), settings.metricsPort()), log);
   }
 
--- a/forwarding/src/main/java/io/moorstage/forwarding/BalancerDaemon.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/BalancerDaemon.java
@@ -8,6 +8,7 @@
 import io.moorstage.core.transparent.FlowId;
 import io.moorstage.core.transparent.FlowKnowledge;
 import io.moorstage.core.transparent.ForwardingPolicy;
+import io.moorstage.core.transparent.Mechanism;
 import io.moorstage.core.transparent.Segment;
 import io.moorstage.core.transparent.SegmentCodec;
 import io.moorstage.core.transparent.TargetPhase;
@@ -38,6 +39,7 @@
   private static final byte[] EMPTY_BODY = {};
 
   private final ForwardingSettings settings;
+  private final ForwardingPolicy policy;
   private final SegmentCodec segments;
   private final EventLog log;
   private final ForwardingMetrics metrics;
@@ -70,10 +72,10 @@
     this.settings = settings;
     this.segments = segments;
     this.log = log;
+    this.policy = settings.policy();
     this.metrics = new ForwardingMetrics(log);
-    this.balancer =
-        new FlowBalancer(ForwardingPolicy.STANDARD, new Actions(), metrics, MonotonicClock.nowMs());
-    this.keeper = new StateKeeper(ForwardingPolicy.STANDARD.goneMemoryMs(), this::onState);
+    this.balancer = new FlowBalancer(policy, new Actions(), metrics, MonotonicClock.nowMs());
+    this.keeper = new StateKeeper(policy.goneMemoryMs(), this::onState);
     this.balancers = new PeerDirectory(settings.address());
     this.peers = new AddressCache(settings.peerPort());
     this.changes = new StateChangeLog(log);
@@ -82,9 +84,10 @@
         new BalancerBeacons(settings.zone(), balancers, peers, this::confirmedAgeMs, metrics);
     this.clients = new AddressCache(settings.clientEndpoint().port());
     this.follower =
-        new SourceFollower(source, keeper, this::onConfirmed, processorLag, readers, log, metrics);
+        new SourceFollower(
+            source, keeper, this::onConfirmed, policy, processorLag, readers, log, metrics);
     PeerStateClient client = new PeerStateClient(settings.statePort());
-    this.fetcher = new PeerStateFetcher(client, this::onPeerState, log);
+    this.fetcher = new PeerStateFetcher(client, this::knownState, this::onPeerState, log);
     nameGauges(source);
   }
 
@@ -136,10 +139,13 @@
       while (!ready && MonotonicClock.nowMs() < deadlineMs) {
         Thread.sleep(TICK_MS);
       }
-      processorLag.awaitCalm(ENDPOINTS_AFTER_READY_MS);
-      HttpEndpoint.start(settings.readiness(), "/", () -> ready && !isolated ? EMPTY_BODY : null);
+      if (policy.uses(Mechanism.PACED_START)) {
+        processorLag.awaitCalm(ENDPOINTS_AFTER_READY_MS);
+      }
+      HttpEndpoint.start(
+          settings.readiness(), "/", query -> ready && !isolated ? EMPTY_BODY : null);
       Endpoint stateEndpoint = Endpoint.of(settings.address(), settings.statePort());
-      HttpEndpoint.start(stateEndpoint, PeerStateClient.PATH, keeper::encoded);
+      HttpEndpoint.start(stateEndpoint, PeerStateClient.PATH, this::encodedState);
       metrics.serve(Endpoint.of(settings.address(), settings.metricsPort()), log);
     } catch (IOException e) {
       log.event("endpoint-failed", "detail", e.toString());
@@ -194,7 +200,7 @@
     int live = balancers.heardWithin(ISOLATED_AFTER_MS, nowMs);
     int known = balancers.heardWithin(MEMBERSHIP_MS, nowMs);
     boolean agentsSilent = balancer.hasLostAllAgents(ISOLATED_AFTER_MS, nowMs);
-    boolean cutOff = agentsSilent && live * 2 < known;
+    boolean cutOff = agentsSilent && live * 2 < known && policy.uses(Mechanism.ISOLATION);
     if (cutOff != isolated) {
       isolated = cutOff;
       log.event(cutOff ? "isolated" : "reconnected", "balancers", live, "of", known);
@@ -260,8 +266,19 @@
     }
   }
 
+  private byte[] encodedState(String query) {
+    PeerStateQuery known = PeerStateQuery.parse(query);
+    return keeper.encodedSince(known.revision(), known.version());
+  }
+
+  private PeerStateQuery knownState() {
+    FleetState state = keeper.state();
+    return new PeerStateQuery(state.revision(), state.configuration().version());
+  }
+
   private void onPeerState(int peerAddress, byte[] encoded) throws StateSourceException {
-    FleetState peerState = FleetStateCodec.decode(encoded);
+    FleetStateCodec.PeerState told = FleetStateCodec.decode(encoded);
+    FleetState peerState = told.state();
     long ownRevision = keeper.state().revision();
     if (peerState.revision() > ownRevision) {
       log.event(
@@ -273,7 +290,11 @@
           "before",
           ownRevision);
       metrics.count(ForwardingCounter.PEER_STATES);
-      keeper.replaceBy(peerState, MonotonicClock.nowMs());
+      if (told.complete()) {
+        keeper.replaceBy(peerState, MonotonicClock.nowMs());
+      } else {
+        keeper.merge(peerState, MonotonicClock.nowMs());
+      }
     }
   }
 
@@ -391,7 +412,8 @@
 
   /** Carries out decisions; called under the balancer's lock, which guards {@link #out} too. */
   private final class Actions implements BalancerActions {
-    private final FlowQuestions questions = new FlowQuestions(TICK_MS, this::sendOut);
+    private final FlowQuestions questions =
+        new FlowQuestions(policy.uses(Mechanism.GATHERED_QUESTIONS) ? TICK_MS : 0, this::sendOut);
 
     @Override
     public void forward(
--- a/forwarding/src/main/java/io/moorstage/forwarding/FleetStateCodec.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/FleetStateCodec.java
@@ -16,16 +16,34 @@
 
 /** The form in which nodes hand each other a {@link FleetState}. */
 public final class FleetStateCodec {
-  private static final int FORMAT = 2;
+  private static final int COMPLETE = 2;
+  private static final int CHANGES = 3;
   private static final int MAX_ENTRIES = 1_000_000;
 
   private FleetStateCodec() {}
 
+  /**
+   * What a peer has told.
+   *
+   * @param state the state, or what has changed in it
+   * @param complete whether nothing that the peer knows is left out
+   */
+  public record PeerState(FleetState state, boolean complete) {}
+
   /** Returns the encoded state. */
   public static byte[] encode(FleetState state) {
+    return encode(state, COMPLETE);
+  }
+
+  /** Returns encoded changes, as {@link FleetState#since} gives them. */
+  public static byte[] encodeChanges(FleetState changes) {
+    return encode(changes, CHANGES);
+  }
+
+  private static byte[] encode(FleetState state, int format) {
     ByteArrayOutputStream bytes = new ByteArrayOutputStream();
     try (DataOutputStream out = new DataOutputStream(bytes)) {
-      out.writeByte(FORMAT);
+      out.writeByte(format);
       out.writeLong(state.revision());
       writeConfiguration(state.configuration(), out);
       out.writeInt(state.targets().size());
@@ -68,13 +86,14 @@
   }
 
   /**
-   * Reads a state.
+   * Reads a state or changes of one.
    *
-   * @throws StateSourceException if the bytes are no state
+   * @throws StateSourceException if the bytes are neither
    */
-  public static FleetState decode(byte[] bytes) throws StateSourceException {
+  public static PeerState decode(byte[] bytes) throws StateSourceException {
     try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(bytes))) {
-      if (in.readByte() != FORMAT) {
+      int format = in.readByte();
+      if (format != COMPLETE && format != CHANGES) {
         throw new IOException("unknown format");
       }
       long revision = in.readLong();
@@ -84,7 +103,8 @@
       for (int i = 0; i < count; i++) {
         targets.add(readTarget(in));
       }
-      return FleetState.of(revision, configuration, targets);
+      FleetState state = FleetState.of(revision, configuration, targets);
+      return new PeerState(state, format == COMPLETE);
     } catch (IOException e) {
       throw new StateSourceException(
           StateSourceFailure.MALFORMED, "a peer's state is malformed", e);
--- a/forwarding/src/main/java/io/moorstage/forwarding/ForwardingMetrics.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/ForwardingMetrics.java
@@ -66,7 +66,7 @@
    */
   void serve(Endpoint endpoint, EventLog events) {
     try {
-      HttpEndpoint.start(endpoint, PATH, this::exposition);
+      HttpEndpoint.start(endpoint, PATH, query -> exposition());
     } catch (IOException e) {
       events.event("metrics-unavailable", "port", endpoint.port(), "detail", e.getMessage());
     }
--- a/forwarding/src/main/java/io/moorstage/forwarding/ForwardingSettings.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/ForwardingSettings.java
@@ -1,12 +1,15 @@
 package io.moorstage.forwarding;
 
 import io.moorstage.core.model.Endpoint;
+import io.moorstage.core.transparent.ForwardingPolicy;
+import io.moorstage.core.transparent.Mechanism;
 import java.io.IOException;
 import java.io.InputStream;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Set;
 import javax.annotation.Nullable;
 
 /**
@@ -25,6 +28,7 @@
  * @param target agent only: where the target takes segments
  * @param egress agent only: where the target sends its segments
  * @param service agent only: the target's service
+ * @param switchedOff mechanisms that an experiment does without; none in operation
  */
 public record ForwardingSettings(
     String nodeId,
@@ -39,7 +43,13 @@
     Endpoint clientEndpoint,
     @Nullable Endpoint target,
     @Nullable Endpoint egress,
-    @Nullable String service) {
+    @Nullable String service,
+    Set<Mechanism> switchedOff) {
+
+  /** Returns the policy that these settings ask for. */
+  public ForwardingPolicy policy() {
+    return ForwardingPolicy.STANDARD.without(switchedOff);
+  }
 
   /** The largest settings file, in bytes. */
   public static final int MAX_FILE_BYTES = 1 << 16;
@@ -98,7 +108,8 @@
             values.endpoint("client.address"),
             agent ? values.endpoint("agent.target-address") : null,
             agent ? values.endpoint("agent.egress-address") : null,
-            agent ? values.text("agent.service") : null);
+            agent ? values.text("agent.service") : null,
+            values.mechanisms("experiment.without"));
     if (!values.problems().isEmpty()) {
       throw new ForwardingSettingsException(values.problems());
     }
--- a/forwarding/src/main/java/io/moorstage/forwarding/HttpEndpoint.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/HttpEndpoint.java
@@ -17,8 +17,12 @@
 
   /** Makes the body of an answer. */
   interface Content {
-    /** Returns the body, or null if the process is not ready to answer. */
-    byte[] body();
+    /**
+     * Returns the body, or null if the process is not ready to answer.
+     *
+     * @param query what stands behind the path, or null
+     */
+    byte[] body(String query);
   }
 
   private HttpEndpoint(HttpServer server) {
@@ -34,7 +38,7 @@
   }
 
   private static void answer(HttpExchange exchange, Content content) throws IOException {
-    byte[] body = content.body();
+    byte[] body = content.body(exchange.getRequestURI().getRawQuery());
     if (body == null || body.length == 0) {
       exchange.sendResponseHeaders(body == null ? UNAVAILABLE : OK, NO_BODY);
     } else {
--- a/forwarding/src/main/java/io/moorstage/forwarding/PeerStateClient.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/PeerStateClient.java
@@ -19,12 +19,12 @@
     this.statePort = statePort;
   }
 
-  /** Returns the encoded state of a node. */
-  byte[] read(int address) throws StateSourceException {
+  /** Returns the encoded state of a node, or what has changed in it since a known one. */
+  byte[] read(int address, PeerStateQuery known) throws StateSourceException {
     Endpoint peer = Endpoint.of(address, statePort);
     try {
       HttpURLConnection connection =
-          (HttpURLConnection) new URL("http://" + peer + PATH).openConnection();
+          (HttpURLConnection) new URL("http://" + peer + PATH + "?" + known).openConnection();
       connection.setConnectTimeout(TIMEOUT_MS);
       connection.setReadTimeout(TIMEOUT_MS);
       if (connection.getResponseCode() != OK) {
--- a/forwarding/src/main/java/io/moorstage/forwarding/PeerStateFetcher.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/PeerStateFetcher.java
@@ -2,10 +2,12 @@
 
 import java.util.LinkedHashSet;
 import java.util.Set;
+import java.util.function.Supplier;
 
 /** Gets the state of peers that know more than this process, one at a time. */
 final class PeerStateFetcher {
   private final PeerStateClient client;
+  private final Supplier<PeerStateQuery> known;
   private final StateTaker taker;
   private final EventLog log;
   private final Set<Integer> wanted = new LinkedHashSet<>();
@@ -16,8 +18,15 @@
     void take(int peerAddress, byte[] encoded) throws StateSourceException;
   }
 
-  PeerStateFetcher(PeerStateClient client, StateTaker taker, EventLog log) {
+  /**
+   * Creates a fetcher.
+   *
+   * @param known tells what this node knows when it asks
+   */
+  PeerStateFetcher(
+      PeerStateClient client, Supplier<PeerStateQuery> known, StateTaker taker, EventLog log) {
     this.client = client;
+    this.known = known;
     this.taker = taker;
     this.log = log;
   }
@@ -56,7 +65,7 @@
       while (true) {
         int peer = next();
         try {
-          taker.take(peer, client.read(peer));
+          taker.take(peer, client.read(peer, known.get()));
         } catch (StateSourceException e) {
           log.event("peer-state-failed", "failure", e.failure().code(), "detail", e.getMessage());
         } catch (RuntimeException e) {
--- a/forwarding/src/main/java/io/moorstage/forwarding/SettingsText.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/SettingsText.java
@@ -1,10 +1,13 @@
 package io.moorstage.forwarding;
 
 import io.moorstage.core.model.Endpoint;
+import io.moorstage.core.transparent.Mechanism;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import javax.annotation.Nullable;
 
 /**
@@ -95,6 +98,25 @@
     return endpoints;
   }
 
+  /**
+   * Returns mechanisms by their names, separated by commas; the setting may be missing or empty.
+   */
+  Set<Mechanism> mechanisms(String key) {
+    Set<Mechanism> mechanisms = new HashSet<>();
+    for (String item : values.getOrDefault(key, "").split(",", -1)) {
+      if (item.isBlank()) {
+        continue;
+      }
+      Mechanism mechanism = Mechanism.ofCode(item.trim());
+      if (mechanism == null) {
+        add(SettingsProblem.Kind.BAD_VALUE, key, "names no mechanism: " + item.trim());
+      } else {
+        mechanisms.add(mechanism);
+      }
+    }
+    return mechanisms;
+  }
+
   private <T> T badValue(String key, String detail, T placeholder) {
     String value = values.get(key);
     if (value != null && !value.isEmpty()) {
--- a/forwarding/src/main/java/io/moorstage/forwarding/SourceFollower.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/SourceFollower.java
@@ -1,6 +1,8 @@
 package io.moorstage.forwarding;
 
 import io.moorstage.core.transparent.FleetState;
+import io.moorstage.core.transparent.ForwardingPolicy;
+import io.moorstage.core.transparent.Mechanism;
 import io.moorstage.core.transparent.StateChanges;
 import java.util.concurrent.ThreadLocalRandom;
 
@@ -32,6 +34,7 @@
   private final StateKeeper keeper;
   private final EventLog log;
   private final ConfirmationListener listener;
+  private final ForwardingPolicy policy;
   private final ProcessorLag processorLag;
   private final SourceReaders readers;
   private final ForwardingMetrics metrics;
@@ -51,6 +54,7 @@
       StateSource source,
       StateKeeper keeper,
       ConfirmationListener listener,
+      ForwardingPolicy policy,
       ProcessorLag processorLag,
       SourceReaders readers,
       EventLog log,
@@ -58,6 +62,7 @@
     this.source = source;
     this.keeper = keeper;
     this.listener = listener;
+    this.policy = policy;
     this.processorLag = processorLag;
     this.readers = readers;
     this.log = log;
@@ -99,12 +104,15 @@
   }
 
   private boolean awaitPeerState() throws InterruptedException {
+    if (!policy.uses(Mechanism.PEER_STATE_FIRST)) {
+      return false;
+    }
     long deadlineMs = MonotonicClock.nowMs() + PEER_FIRST_MS;
     while (keeper.state().revision() == 0 && MonotonicClock.nowMs() < deadlineMs) {
       Thread.sleep(PEER_POLL_MS);
     }
     boolean told = keeper.state().revision() > 0;
-    if (told) {
+    if (told && policy.uses(Mechanism.PACED_START)) {
       processorLag.awaitCalm(CONFIRM_WITHIN_MS);
     }
     return told;
@@ -112,7 +120,8 @@
 
   // Without any state there is nothing to go on from, whoever else reads.
   private boolean decideToRead() {
-    boolean mustRead = !complete || readers.mustRead(MonotonicClock.nowMs());
+    boolean shares = complete && policy.uses(Mechanism.SOURCE_READERS);
+    boolean mustRead = !shares || readers.mustRead(MonotonicClock.nowMs());
     if (mustRead != reading) {
       reading = mustRead;
       confirmed = false;
--- a/forwarding/src/main/java/io/moorstage/forwarding/StateKeeper.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/StateKeeper.java
@@ -18,6 +18,7 @@
 final class StateKeeper {
   private final int goneMemoryMs;
   private final Listener listener;
+  private volatile long forgottenRevision;
   private final Map<String, Long> goneSinceMs = new HashMap<>();
   private volatile FleetState state = FleetState.EMPTY;
   private volatile Encoded encoded;
@@ -70,12 +71,27 @@
       Long since = goneSinceMs.putIfAbsent(target.id(), nowMs);
       if (since != null && nowMs - since > goneMemoryMs) {
         forgotten.add(target.id());
+        forgottenRevision = Math.max(forgottenRevision, target.revision());
         goneSinceMs.remove(target.id());
       }
     }
     return forgotten.isEmpty() ? newer : newer.without(forgotten);
   }
 
+  /**
+   * Returns the encoded changes since a revision that a peer knows, or the encoded state where
+   * something has been forgotten since; null if nothing is known.
+   */
+  @Nullable
+  byte[] encodedSince(long knownRevision, long knownVersion) {
+    // Read before the revision that tells what was forgotten: a state never lacks more than that.
+    FleetState current = state;
+    if (knownRevision <= 0 || knownRevision < forgottenRevision) {
+      return encoded();
+    }
+    return FleetStateCodec.encodeChanges(current.since(knownRevision, knownVersion));
+  }
+
   /** Returns the encoded state, or null if nothing is known. */
   @Nullable
   byte[] encoded() {
--- a/forwarding/src/test/java/io/moorstage/forwarding/FirstStateReaderTest.java
+++ b/forwarding/src/test/java/io/moorstage/forwarding/FirstStateReaderTest.java
@@ -49,7 +49,7 @@
   void stateIsReadThoughTheSourceRefusesAtFirst() throws Exception {
     start(source(2, 3), false);
     byte[] encoded = taken.poll(PATIENCE_S, TimeUnit.SECONDS);
-    assertThat(FleetStateCodec.decode(encoded).configuration().version()).isEqualTo(3);
+    assertThat(FleetStateCodec.decode(encoded).state().configuration().version()).isEqualTo(3);
     assertThat(readings.get()).isEqualTo(3);
   }
 
--- a/forwarding/src/test/java/io/moorstage/forwarding/ForwardingSettingsTest.java
+++ b/forwarding/src/test/java/io/moorstage/forwarding/ForwardingSettingsTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import io.moorstage.core.model.Endpoint;
+import io.moorstage.core.transparent.Mechanism;
 import java.nio.file.Path;
 import org.junit.jupiter.api.Test;
 
@@ -39,6 +40,26 @@
         .isEmpty();
   }
 
+  @Test
+  void mechanismIsSwitchedOffByItsName() throws ForwardingSettingsException {
+    String text = BALANCER + "experiment.without: gate, two-choices\n";
+    ForwardingSettings settings =
+        ForwardingSettings.parse(ForwardingSettings.Program.BALANCER, text);
+    assertThat(settings.switchedOff()).containsExactly(Mechanism.GATE, Mechanism.TWO_CHOICES);
+    assertThat(settings.policy().uses(Mechanism.GATE)).isFalse();
+    assertThat(settings.policy().uses(Mechanism.SUSPICION)).isTrue();
+  }
+
+  @Test
+  void unknownMechanismIsRefused() {
+    String text = BALANCER + "experiment.without: gates\n";
+    ForwardingSettingsException refused =
+        assertThrows(
+            ForwardingSettingsException.class,
+            () -> ForwardingSettings.parse(ForwardingSettings.Program.BALANCER, text));
+    assertThat(refused.problems().get(0).key()).isEqualTo("experiment.without");
+  }
+
   @Test
   void everythingThatIsWrongIsToldAtOnce() {
     String text =
--- a/forwarding/src/test/java/io/moorstage/forwarding/StateKeeperTest.java
+++ b/forwarding/src/test/java/io/moorstage/forwarding/StateKeeperTest.java
@@ -78,6 +78,35 @@
     assertThat(keeper.state().target("old")).isNull();
   }
 
+  @Test
+  void peerThatIsBehindGetsOnlyWhatHasChanged() throws StateSourceException {
+    StateKeeper keeper = new StateKeeper(GONE_MEMORY_MS, (before, after, nowMs) -> {});
+    keeper.replaceBy(stateAt(3, target("a", 2)), 0);
+    keeper.replaceBy(stateAt(5, target("a", 2), target("b", 4)), 0);
+
+    FleetStateCodec.PeerState told = FleetStateCodec.decode(keeper.encodedSince(3, 1));
+    assertThat(told.complete()).isFalse();
+    assertThat(told.state().revision()).isEqualTo(5);
+    assertThat(told.state().targets()).containsExactly(target("b", 4));
+    assertThat(told.state().configuration().version()).isEqualTo(0);
+    FleetState merged = stateAt(3, target("a", 2)).merge(told.state());
+    assertThat(merged.targets()).containsExactly(target("a", 2), target("b", 4));
+    assertThat(merged.configuration().version()).isEqualTo(1);
+  }
+
+  // What was forgotten is in no change: a peer that still lists it would keep it for good.
+  @Test
+  void peerThatIsBehindWhatWasForgottenGetsTheWholeState() throws StateSourceException {
+    StateKeeper keeper = new StateKeeper(GONE_MEMORY_MS, (before, after, nowMs) -> {});
+    keeper.replaceBy(stateAt(3, target("a", 2)), 0);
+    keeper.replaceBy(stateAt(5), 1_000);
+    keeper.replaceBy(stateAt(6), 1_000 + GONE_MEMORY_MS + 1);
+
+    assertThat(FleetStateCodec.decode(keeper.encodedSince(3, 1)).complete()).isTrue();
+    assertThat(FleetStateCodec.decode(keeper.encodedSince(5, 1)).complete()).isFalse();
+    assertThat(FleetStateCodec.decode(keeper.encodedSince(0, 0)).complete()).isTrue();
+  }
+
   @Test
   void encodedStateIsThatOfTheNewestState() throws StateSourceException {
     StateKeeper keeper = new StateKeeper(GONE_MEMORY_MS, (before, after, nowMs) -> {});
@@ -86,7 +115,7 @@
     keeper.replaceBy(stateAt(3, target("a", 2)), 0);
     keeper.replaceBy(stateAt(5, target("a", 2), target("b", 4)), 0);
 
-    FleetState read = FleetStateCodec.decode(keeper.encoded());
+    FleetState read = FleetStateCodec.decode(keeper.encoded()).state();
     assertThat(read.revision()).isEqualTo(5);
     assertThat(read.targets()).containsExactly(target("a", 2), target("b", 4));
   }
