--- a/lab/src/main/java/io/moorstage/lab/Lab.java
+++ b/lab/src/main/java/io/moorstage/lab/Lab.java
@@ -14,7 +14,6 @@
 import io.moorstage.lab.fault.FaultProxyCommand;
 import io.moorstage.lab.platform.PlatformCommand;
 import io.moorstage.lab.recovery.RecoveryCommand;
-import io.moorstage.lab.scale.ScaleCommand;
 import java.io.IOException;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -57,7 +56,6 @@
     commands.put("fault-proxy", new FaultProxyCommand());
     commands.put("demo", new DemoCommand());
     commands.put("forwarding-bench", new ForwardingBench());
-    commands.put("scale", new ScaleCommand());
     commands.put("recovery", new RecoveryCommand());
     commands.put("imbalance", new ImbalanceExperiment());
     commands.put("home-changes", new HomeChangeExperiment());
