--- a/forwarding/src/main/java/io/moorstage/forwarding/FlowQuestions.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/FlowQuestions.java
@@ -11,8 +11,8 @@
  * follow within one gathering time go together.
  *
  * <p>A balancer that has restarted asks a dozen nodes for each of some hundred flows within its
- * first second: one datagram for each of these questions and answers took a third of its processor
- * time. Not thread-safe.
+ * first second: with one datagram for each, questions and answers were three times as many as the
+ * clients' own datagrams. Not thread-safe.
  */
 final class FlowQuestions {
   /** Bounds the memory; more nodes are not asked within one gathering time. */
