Take a signal during the start of a daemon as a planned stop too

Cause: the shutdown hook was installed after the line that says the daemon has started. A SIGTERM in between found no hook, and installing one then failed with "Shutdown in progress". Change: the hook is installed before the start and waits for it. Test: sigtermDuringTheStartIsAPlannedStopToo fails before and passes after.

--- a/node/src/main/java/io/moorstage/node/command/DaemonCommand.java
+++ b/node/src/main/java/io/moorstage/node/command/DaemonCommand.java
@@ -11,6 +11,8 @@
 import io.moorstage.node.settings.NodeSettings;
 import io.moorstage.node.settings.Role;
 import io.moorstage.node.settings.Settings;
+import java.util.concurrent.CancellationException;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 
 /** {@code moorstage balancer} and {@code moorstage agent}: runs a daemon until SIGTERM. */
@@ -44,15 +46,21 @@
   @Override
   public ExitCode run(Console console) throws MoorstageException {
     Settings settings = arguments.load(role);
-    RunningDaemon daemon;
+    CompletableFuture<RunningDaemon> started = new CompletableFuture<>();
+    // Before the start, since a signal may come at any time.
+    Thread stop = new Thread(() -> stopAndHalt(started), "planned-stop");
+    Runtime.getRuntime().addShutdownHook(stop);
     try {
-      daemon = RunningDaemon.start(nodeSettings(settings), factory);
+      started.complete(RunningDaemon.start(nodeSettings(settings), factory));
     } catch (StartException e) {
       EventLog.event(LogEvent.START_FAILED).failure(e).write();
       console.err().println(e.failure().code() + ": " + e.getMessage());
       return ExitCode.CANNOT_START;
+    } finally {
+      // Without effect after a start; otherwise the hook must not wait for one.
+      started.cancel(false);
     }
-    return runUntilSignal(daemon);
+    return awaitSignal();
   }
 
   private NodeSettings nodeSettings(Settings settings) {
@@ -60,9 +68,7 @@
   }
 
   /** Waits for SIGTERM or SIGINT; both are a planned stop, which ends the process. */
-  private static ExitCode runUntilSignal(RunningDaemon daemon) {
-    Thread stop = new Thread(() -> stopAndHalt(daemon), "planned-stop");
-    Runtime.getRuntime().addShutdownHook(stop);
+  private static ExitCode awaitSignal() {
     try {
       new CountDownLatch(1).await();
     } catch (InterruptedException e) {
@@ -72,7 +78,15 @@
     return ExitCode.OK;
   }
 
-  private static void stopAndHalt(RunningDaemon daemon) {
+  /** Stops the daemon, after its start if that is under way, and ends the process. */
+  private static void stopAndHalt(CompletableFuture<RunningDaemon> started) {
+    RunningDaemon daemon;
+    try {
+      daemon = started.join();
+    } catch (CancellationException e) {
+      // The start has failed: the process ends by itself, with the exit code that says so.
+      return;
+    }
     ExitCode exitCode = ExitCode.OK;
     try {
       daemon.stop();
--- a/node/src/test/java/io/moorstage/node/command/DaemonProcessTest.java
+++ b/node/src/test/java/io/moorstage/node/command/DaemonProcessTest.java
@@ -34,6 +34,20 @@
     }
   }
 
+  @Test
+  void sigtermDuringTheStartIsAPlannedStopToo() throws Exception {
+    Process process = start("--stop.grace-seconds", "7", "--node.admin-port", "0");
+    try (BufferedReader lines =
+        new BufferedReader(new InputStreamReader(process.getInputStream(), UTF_8))) {
+      List<String> output = new ArrayList<>();
+      readUntil(lines, StoppableDaemonMain.STARTING, output);
+      process.toHandle().destroy();
+      readUntil(lines, "event=daemon-stopped", output);
+      assertThat(process.waitFor()).isEqualTo(ExitCode.OK.number());
+      assertThat(output).contains(StoppableDaemonMain.STOPPED + "7");
+    }
+  }
+
   @Test
   void aTakenPortIsToldInOneLineAndStopsTheDaemonAgain() throws Exception {
     try (ServerSocket taken = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
--- a/node/src/test/java/io/moorstage/node/command/StoppableDaemonMain.java
+++ b/node/src/test/java/io/moorstage/node/command/StoppableDaemonMain.java
@@ -8,6 +8,8 @@
 /** A balancer process whose daemon only says when it is stopped. */
 public final class StoppableDaemonMain {
   static final String STOPPED = "stopped with grace of seconds: ";
+  static final String STARTING = "starting";
+  private static final int START_PAUSE_MS = 500;
 
   private StoppableDaemonMain() {}
 
@@ -21,7 +23,13 @@
   private static final class SilentDaemon implements Daemon {
     @Override
     public void start() {
-      // Nothing to bind.
+      // Nothing to bind. The pause leaves time for a signal during the start.
+      System.out.println(STARTING);
+      try {
+        Thread.sleep(START_PAUSE_MS);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
     }
 
     @Override
