Look for a lost flow in widening rounds, and conclude only when all agents have answered

Cause: at most 24 listed agents were asked for a flow. One beyond that which was not heard just then was neither asked nor counted as absent, so the search was called conclusive and the client of an open flow got a reset: with 60 targets and the holder at rank 30, its agent restarting. Change: four agents first, then four times as many each round, other balancers from the second round on; whoever has not answered is absent, is asked again, and rules out a reset. An agent is silent if it leaves questions or beacons unanswered, not because it has not been heard from. Ruled out: raising the cut, since each lost flow would then cost 54 questions at 54 targets; a flow at one of its two highest ranked targets now costs 4. Tests: flowHeldByATargetOfLowRankWhoseAgentIsSilentIsNotReset and flowOfAHighRankedTargetIsFoundWithFewQuestions fail before. agentThatAppearsDuringASearchIsAsked now expects the question at once and again when the agent appears: not to ask an agent that has not been heard from is what led to the fault.

--- /dev/null
+++ b/core/src/main/java/io/moorstage/core/transparent/AgentDirectory.java
@@ -0,0 +1,102 @@
+package io.moorstage.core.transparent;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import javax.annotation.Nullable;
+
+/**
+ * Which agents a balancer hears from, and which do not answer it. Guarded by the lock of {@link
+ * FlowBalancer}.
+ *
+ * <p>An agent that has not been heard from is not silent for that: agents send beacons to few
+ * balancers. It is silent if it leaves a question unanswered for long.
+ */
+final class AgentDirectory {
+  /** The capacity that a target is taken to have as long as the source does not list it. */
+  private static final int UNLISTED_CAPACITY = 4;
+
+  private static final long NEVER = Long.MIN_VALUE / 2;
+
+  private final ForwardingPolicy policy;
+  private final Map<Integer, HeardAgent> heardAgents = new HashMap<>();
+
+  /** For each agent that has not been heard from since it was asked: when that was. */
+  private final Map<Integer, Long> unansweredSinceMs = new HashMap<>();
+
+  /** An agent that has sent a beacon, whether or not the source lists its target. */
+  record HeardAgent(String service, TargetSlot slot, long heardAtMs) {}
+
+  AgentDirectory(ForwardingPolicy policy) {
+    this.policy = policy;
+  }
+
+  /** Notes a beacon; returns whether the agent was silent or unknown before. */
+  boolean hear(int agentAddress, String service, boolean stopping, long nowMs) {
+    HeardAgent known = heardAgents.get(agentAddress);
+    boolean same = known != null && known.service().equals(service);
+    TargetSlot slot = same ? known.slot() : unlistedSlot(agentAddress, service, nowMs);
+    boolean appeared = !isHeard(agentAddress, nowMs);
+    heardAgents.put(agentAddress, new HeardAgent(service, slot, stopping ? NEVER : nowMs));
+    unansweredSinceMs.remove(agentAddress);
+    return appeared && !stopping;
+  }
+
+  private static TargetSlot unlistedSlot(int agentAddress, String service, long nowMs) {
+    String id = "agent-" + Integer.toHexString(agentAddress);
+    return new TargetSlot(
+        new TargetRecord(
+            id, service, agentAddress, "", UNLISTED_CAPACITY, TargetPhase.READY, 0, 0, 0),
+        nowMs);
+  }
+
+  /** An agent has been sent something that it answers, be it a question or a beacon. */
+  void asked(int agentAddress, long nowMs) {
+    unansweredSinceMs.putIfAbsent(agentAddress, nowMs);
+  }
+
+  /** An agent has answered a question. */
+  void answered(int agentAddress) {
+    unansweredSinceMs.remove(agentAddress);
+  }
+
+  /** Returns whether an agent has sent a beacon of late. */
+  boolean isHeard(int agentAddress, long nowMs) {
+    HeardAgent agent = heardAgents.get(agentAddress);
+    return agent != null && nowMs - agent.heardAtMs() <= policy.agentSilenceMs();
+  }
+
+  /** Returns whether an agent has left questions unanswered for so long that it counts as away. */
+  boolean isSilent(int agentAddress, long nowMs) {
+    Long sinceMs = unansweredSinceMs.get(agentAddress);
+    boolean unanswered = sinceMs != null && nowMs - sinceMs > policy.agentSilenceMs();
+    return unanswered && !isHeard(agentAddress, nowMs);
+  }
+
+  @Nullable
+  HeardAgent get(int agentAddress) {
+    return heardAgents.get(agentAddress);
+  }
+
+  /** Returns all agents that have sent a beacon, also those that have fallen silent since. */
+  Collection<HeardAgent> all() {
+    return heardAgents.values();
+  }
+
+  /** Returns whether agents have been heard from before, and none of them within some time. */
+  boolean hasLostAll(int periodMs, long nowMs) {
+    for (HeardAgent agent : heardAgents.values()) {
+      if (nowMs - agent.heardAtMs() <= periodMs) {
+        return false;
+      }
+    }
+    return !heardAgents.isEmpty();
+  }
+
+  /** Forgets agents that have long been silent. */
+  void sweep(long nowMs) {
+    int memoryMs = policy.goneMemoryMs();
+    heardAgents.values().removeIf(agent -> nowMs - agent.heardAtMs() > memoryMs);
+    unansweredSinceMs.values().removeIf(sinceMs -> nowMs - sinceMs > memoryMs);
+  }
+}
--- a/core/src/main/java/io/moorstage/core/transparent/BalancerFlow.java
+++ b/core/src/main/java/io/moorstage/core/transparent/BalancerFlow.java
@@ -1,7 +1,9 @@
 package io.moorstage.core.transparent;
 
 import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.List;
 import javax.annotation.Nullable;
 
@@ -77,17 +79,25 @@
   /** The search for a flow whose place is unknown. */
   static final class Location {
     final List<byte[]> held = new ArrayList<>(2);
+
+    /** Targets whose agents are to be asked yet, the likeliest first. */
+    final Deque<TargetSlot> toAsk = new ArrayDeque<>();
+
+    /** Targets whose agents have been asked and may still answer. */
     final List<TargetSlot> unanswered = new ArrayList<>();
 
-    /** Addresses of agents that may know the flow and are not heard from. */
-    final List<Integer> absent = new ArrayList<>(0);
+    /** Targets that may hold the flow, and whose agents have not answered. */
+    final List<TargetSlot> absent = new ArrayList<>(0);
 
+    /** Targets that may hold the flow as far as their agents can tell. */
     final List<TargetSlot> candidates = new ArrayList<>(0);
+
     final int acknowledged;
     final long startedAtMs;
+    boolean balancersAsked;
 
-    /** Whether every target that may hold the flow has been heard. */
-    boolean conclusive = true;
+    /** How many agents the next round of questions goes to. */
+    int nextAsked;
 
     long deadlineMs;
     @Nullable TargetSlot offeredTo;
@@ -102,5 +112,10 @@
         held.add(copyOf(datagram));
       }
     }
+
+    /** Returns whether this has asked all and waits for no answer or offer. */
+    boolean isWaitingForNothing() {
+      return toAsk.isEmpty() && unanswered.isEmpty() && offeredTo == null;
+    }
   }
 }
--- a/core/src/main/java/io/moorstage/core/transparent/BalancerTables.java
+++ b/core/src/main/java/io/moorstage/core/transparent/BalancerTables.java
@@ -2,7 +2,6 @@
 
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
@@ -14,30 +13,23 @@
  * Guarded by the lock of {@link FlowBalancer}.
  */
 final class BalancerTables {
-  /**
-   * What an agent's target is taken to work on at a time as long as the source does not list it.
-   */
-  private static final int UNLISTED_CAPACITY = 4;
-
   private static final long NEVER = Long.MIN_VALUE / 2;
 
   private final ForwardingPolicy policy;
   private final BalancerActions actions;
   private final long startedAtMs;
   private final Map<FlowId, BalancerFlow> flows = new HashMap<>();
-  private final Map<Integer, HeardAgent> heardAgents = new HashMap<>();
+  private final AgentDirectory agents;
   private TargetPools pools;
   private FleetState state = FleetState.EMPTY;
   private long stateAtMs;
   private long firstStateAtMs = NEVER;
 
-  /** An agent that has told of itself, whether or not the source lists its target. */
-  record HeardAgent(String service, TargetSlot slot, long heardAtMs) {}
-
   BalancerTables(ForwardingPolicy policy, BalancerActions actions, long nowMs) {
     this.policy = policy;
     this.actions = actions;
     this.startedAtMs = nowMs;
+    this.agents = new AgentDirectory(policy);
     this.pools = TargetPools.empty(policy);
   }
 
@@ -101,59 +93,19 @@
 
   private List<TargetSlot> unlistedOf(String service, @Nullable TargetPool listed, long nowMs) {
     List<TargetSlot> unlisted = new ArrayList<>();
-    for (HeardAgent agent : heardAgents.values()) {
+    for (AgentDirectory.HeardAgent agent : agents.all()) {
       int address = agent.slot().address();
       boolean isListed = listed != null && listed.at(address) != null;
-      if (agent.service().equals(service) && !isListed && isAgentHeard(address, nowMs)) {
+      if (agent.service().equals(service) && !isListed && agents.isHeard(address, nowMs)) {
         unlisted.add(agent.slot());
       }
     }
     return unlisted;
   }
 
-  // ---- agents ----
-
-  /** Notes a beacon; returns whether the agent was silent before. */
-  boolean hear(int agentAddress, String service, boolean stopping, long nowMs) {
-    HeardAgent known = heardAgents.get(agentAddress);
-    boolean same = known != null && known.service().equals(service);
-    TargetSlot slot = same ? known.slot() : unlistedSlot(agentAddress, service, nowMs);
-    boolean appeared = !isAgentHeard(agentAddress, nowMs);
-    long heardAtMs = stopping ? Long.MIN_VALUE / 2 : nowMs;
-    heardAgents.put(agentAddress, new HeardAgent(service, slot, heardAtMs));
-    return appeared && !stopping;
-  }
-
-  private static TargetSlot unlistedSlot(int agentAddress, String service, long nowMs) {
-    String id = "agent-" + Integer.toHexString(agentAddress);
-    return new TargetSlot(
-        new TargetRecord(
-            id, service, agentAddress, "", UNLISTED_CAPACITY, TargetPhase.READY, 0, 0, 0),
-        nowMs);
-  }
-
-  @Nullable
-  HeardAgent heardAgent(int agentAddress) {
-    return heardAgents.get(agentAddress);
-  }
-
-  Collection<HeardAgent> heardAgents() {
-    return heardAgents.values();
-  }
-
-  /** Returns whether agents have been heard from before, and none of them within some time. */
-  boolean hasLostAllAgents(int periodMs, long nowMs) {
-    for (HeardAgent agent : heardAgents.values()) {
-      if (nowMs - agent.heardAtMs() <= periodMs) {
-        return false;
-      }
-    }
-    return !heardAgents.isEmpty();
-  }
-
-  boolean isAgentHeard(int agentAddress, long nowMs) {
-    HeardAgent agent = heardAgents.get(agentAddress);
-    return agent != null && nowMs - agent.heardAtMs() <= policy.agentSilenceMs();
+  /** Returns which agents are heard from. */
+  AgentDirectory agents() {
+    return agents;
   }
 
   // ---- flows ----
@@ -217,7 +169,7 @@
         return slot;
       }
     }
-    HeardAgent agent = heardAgents.get(address);
+    AgentDirectory.HeardAgent agent = agents.get(address);
     return agent == null ? null : agent.slot();
   }
 
@@ -231,6 +183,6 @@
         all.remove();
       }
     }
-    heardAgents.values().removeIf(agent -> nowMs - agent.heardAtMs() > policy.goneMemoryMs());
+    agents.sweep(nowMs);
   }
 }
--- a/core/src/main/java/io/moorstage/core/transparent/FlowBalancer.java
+++ b/core/src/main/java/io/moorstage/core/transparent/FlowBalancer.java
@@ -2,6 +2,7 @@
 
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 
 /**
@@ -74,8 +75,8 @@
    */
   public synchronized boolean onAgent(
       int agentAddress, String service, int busyFlows, boolean stopping, long nowMs) {
-    boolean appeared = tables.hear(agentAddress, service, stopping, nowMs);
-    TargetSlot unlisted = tables.heardAgent(agentAddress).slot();
+    boolean appeared = tables.agents().hear(agentAddress, service, stopping, nowMs);
+    TargetSlot unlisted = tables.agents().get(agentAddress).slot();
     report(unlisted, busyFlows, stopping, nowMs);
     for (TargetSlot slot : tables.slots()) {
       if (slot.address() == agentAddress && slot.record().phase() != TargetPhase.GONE) {
@@ -89,6 +90,13 @@
     return appeared;
   }
 
+  /** Beacons were sent to agents, which an agent that is there answers by one of its own. */
+  public synchronized void onBeaconsSent(Collection<Integer> agentAddresses, long nowMs) {
+    for (int address : agentAddresses) {
+      tables.agents().asked(address, nowMs);
+    }
+  }
+
   private void report(TargetSlot slot, int busyFlows, boolean stopping, long nowMs) {
     slot.reportBusy(busyFlows, nowMs);
     slot.hear(nowMs);
@@ -99,7 +107,7 @@
 
   /** Returns whether agents have been heard from before, and none of them within some time. */
   public synchronized boolean hasLostAllAgents(int periodMs, long nowMs) {
-    return tables.hasLostAllAgents(periodMs, nowMs);
+    return tables.agents().hasLostAll(periodMs, nowMs);
   }
 
   /** Takes a segment from a client. */
--- a/core/src/main/java/io/moorstage/core/transparent/FlowLocator.java
+++ b/core/src/main/java/io/moorstage/core/transparent/FlowLocator.java
@@ -3,6 +3,7 @@
 import io.moorstage.core.transparent.BalancerFlow.Location;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Iterator;
 import java.util.List;
 import javax.annotation.Nullable;
@@ -11,14 +12,26 @@
  * Finds the target of flows that this balancer does not know: asks agents and other balancers, and
  * offers a segment to one target after the other if nobody remembers. Guarded by the lock of {@link
  * FlowBalancer}.
+ *
+ * <p>The agents of the likeliest targets are asked first, and more only if none of them holds the
+ * flow, so that finding a flow does not cost more in a larger service. That a flow is held by none
+ * is concluded only when every agent has answered.
  */
 final class FlowLocator {
-  private static final int MAX_ASKED_AGENTS = 24;
+  /** A new flow goes to one of its two highest ranked targets; one in each group may be away. */
+  static final int FIRST_ASKED = 4;
+
+  /** Each further round asks so many times as many agents: three rounds cover 84 targets. */
+  private static final int WIDENING = 4;
+
+  /** The time from one round to the next: a few round trips between zones, of 2 ms each. */
+  private static final int WIDEN_AFTER_MS = 20;
 
   private final ForwardingPolicy policy;
   private final BalancerActions actions;
   private final DecisionLog log;
   private final BalancerTables tables;
+  private final PossibleHolders holders;
   private final List<BalancerFlow> locating = new ArrayList<>();
 
   FlowLocator(
@@ -27,6 +40,7 @@
     this.actions = actions;
     this.log = log;
     this.tables = tables;
+    this.holders = new PossibleHolders(tables);
   }
 
   /** Takes a segment of an open flow that an agent gives back: its target does not hold it. */
@@ -99,32 +113,38 @@
     String reason = excluded == null ? "unknown" : "not-held";
     int address = excluded == null ? 0 : excluded.address();
     log.decided(Decision.ASKED, flow.id, address, reason, tables.ageOfState(nowMs));
-    ask(flow, nowMs);
+    location.toAsk.addAll(holders.inOrder(flow, nowMs));
+    askNext(flow, FIRST_ASKED, nowMs);
   }
 
-  /** Asks every agent whose target may hold a flow, and the other balancers. */
-  private void ask(BalancerFlow flow, long nowMs) {
-    List<TargetSlot> mayHold = new ArrayList<>();
-    for (TargetPool pool : tables.poolsOf(flow)) {
-      for (TargetSlot slot : pool.byRank(flow.id)) {
-        if (!flow.denied.contains(slot.address()) && mayHold.size() < MAX_ASKED_AGENTS) {
-          addIfMayHold(mayHold, slot, nowMs);
-        }
-      }
-    }
-    addUnlisted(flow, mayHold, nowMs);
+  /** Asks the next few agents, and the other balancers once the first few do not hold the flow. */
+  private void askNext(BalancerFlow flow, int count, long nowMs) {
     Location location = flow.location;
-    location.deadlineMs = nowMs + policy.locateTimeoutMs();
-    for (TargetSlot slot : mayHold) {
-      if (tables.isAgentHeard(slot.address(), nowMs)) {
-        location.unanswered.add(slot);
-        actions.ask(slot.address(), flow.id);
-      } else {
+    int asked = 0;
+    while (asked < count && !location.toAsk.isEmpty()) {
+      TargetSlot slot = location.toAsk.poll();
+      if (tables.agents().isSilent(slot.address(), nowMs)) {
         // It is asked as soon as it is heard from.
-        location.absent.add(slot.address());
+        location.absent.add(slot);
+      } else {
+        askAgent(flow, slot, nowMs);
+        asked++;
       }
     }
-    actions.askBalancers(flow.id);
+    boolean first = count == FIRST_ASKED;
+    if (!location.balancersAsked && (!first || location.toAsk.isEmpty())) {
+      location.balancersAsked = true;
+      actions.askBalancers(flow.id);
+    }
+    location.deadlineMs =
+        nowMs + (location.toAsk.isEmpty() ? policy.locateTimeoutMs() : WIDEN_AFTER_MS);
+    location.nextAsked = count * WIDENING;
+  }
+
+  private void askAgent(BalancerFlow flow, TargetSlot slot, long nowMs) {
+    flow.location.unanswered.add(slot);
+    tables.agents().asked(slot.address(), nowMs);
+    actions.ask(slot.address(), flow.id);
   }
 
   // An agent has started or is back: it may know the flows that are being looked for.
@@ -136,47 +156,34 @@
       if (location == null || !serves || flow.denied.contains(agent.address())) {
         continue;
       }
+      removeAt(location.toAsk, agent.address());
+      removeAt(location.absent, agent.address());
+      removeAt(location.unanswered, agent.address());
       TargetSlot slot = tables.slotAt(flow, agent.address());
-      location.absent.remove((Integer) agent.address());
-      location.unanswered.add(slot == null ? agent : slot);
+      askAgent(flow, slot == null ? agent : slot, nowMs);
       if (location.offeredTo == null) {
         location.deadlineMs = nowMs + policy.locateTimeoutMs();
       }
-      actions.ask(agent.address(), flow.id);
-    }
-  }
-
-  private void addIfMayHold(List<TargetSlot> asked, TargetSlot slot, long nowMs) {
-    for (TargetSlot known : asked) {
-      if (known.address() == slot.address()) {
-        return;
-      }
-    }
-    // A target that has gone, and whose agent has fallen silent, has ended with its flows.
-    boolean gone = slot.record().phase() == TargetPhase.GONE;
-    if (!gone || tables.isAgentHeard(slot.address(), nowMs)) {
-      asked.add(slot);
     }
   }
 
-  // A target may serve on though the source never listed it since this balancer has started.
-  private void addUnlisted(BalancerFlow flow, List<TargetSlot> asked, long nowMs) {
-    ForwardingRoute route = tables.configuration().routeOf(flow.id);
-    for (BalancerTables.HeardAgent agent : tables.heardAgents()) {
-      boolean denied = flow.denied.contains(agent.slot().address());
-      boolean serves =
-          route == null
-              ? agent.service().equals(flow.service)
-              : route.sharesFlowsWith(agent.service());
-      if (serves && !denied && tables.isAgentHeard(agent.slot().address(), nowMs)) {
-        addIfMayHold(asked, agent.slot(), nowMs);
+  /** Removes the target at an address; returns it, or null if there is none. */
+  @Nullable
+  private static TargetSlot removeAt(Collection<TargetSlot> slots, int address) {
+    for (Iterator<TargetSlot> all = slots.iterator(); all.hasNext(); ) {
+      TargetSlot slot = all.next();
+      if (slot.address() == address) {
+        all.remove();
+        return slot;
       }
     }
+    return null;
   }
 
   /** Takes an answer of an agent or another balancer about a flow. */
   void onKnowledge(
       int peerAddress, FlowId id, FlowKnowledge knowledge, int targetAddress, long nowMs) {
+    tables.agents().answered(peerAddress);
     BalancerFlow flow = tables.flow(id);
     if (flow == null || flow.location == null) {
       return;
@@ -210,17 +217,19 @@
 
   private void answered(BalancerFlow flow, int agentAddress, boolean mayHold, long nowMs) {
     Location location = flow.location;
-    for (Iterator<TargetSlot> slots = location.unanswered.iterator(); slots.hasNext(); ) {
-      TargetSlot slot = slots.next();
-      if (slot.address() == agentAddress) {
-        slots.remove();
-        if (mayHold) {
-          location.candidates.add(slot);
-        }
-        break;
-      }
+    TargetSlot slot = removeAt(location.unanswered, agentAddress);
+    if (slot == null) {
+      slot = removeAt(location.absent, agentAddress);
+    }
+    if (slot == null) {
+      return;
+    }
+    if (mayHold) {
+      location.candidates.add(slot);
     }
-    if (location.unanswered.isEmpty() && location.offeredTo == null) {
+    if (location.unanswered.isEmpty() && !location.toAsk.isEmpty()) {
+      askNext(flow, location.nextAsked, nowMs);
+    } else if (location.isWaitingForNothing()) {
       offerNext(flow, nowMs);
     }
   }
@@ -254,11 +263,11 @@
   // holds for all, no target holds the flow, and a reset lets the client try again at once.
   private void notFound(BalancerFlow flow, Location location, long nowMs) {
     boolean learned = nowMs - tables.startedAtMs() > policy.learnMs();
-    if (location.conclusive && location.absent.isEmpty() && learned) {
+    if (location.absent.isEmpty() && learned) {
       log.decided(Decision.RESET_LOST, flow.id, 0, "held-by-none", tables.ageOfState(nowMs));
       actions.reset(flow.id, location.acknowledged);
     } else if (nowMs - location.startedAtMs < policy.searchMs()) {
-      // An agent that starts meanwhile is asked when it is first heard from.
+      // Then those that have not answered are asked again.
       location.deadlineMs = nowMs + policy.searchPauseMs();
       return;
     } else {
@@ -284,23 +293,39 @@
     locating.remove(flow);
   }
 
-  /** Ends rounds of questions and offers whose time is over. */
+  /** Goes on with searches that have waited long enough for answers to questions or offers. */
   void onTick(long nowMs) {
     for (BalancerFlow flow : new ArrayList<>(locating)) {
       Location location = flow.location;
       if (location == null || location.deadlineMs > nowMs) {
         continue;
       }
-      if (location.offeredTo == null) {
-        location.conclusive &= location.unanswered.isEmpty();
-        location.unanswered.clear();
-        offerNext(flow, nowMs);
-      } else {
+      if (location.offeredTo != null) {
         // A target returns at once what it does not hold.
         TargetSlot holder = location.offeredTo;
         location.held.remove(0);
         found(flow, holder, "kept-offer", nowMs);
+      } else if (!location.toAsk.isEmpty()) {
+        askNext(flow, location.nextAsked, nowMs);
+      } else if (!location.unanswered.isEmpty()) {
+        location.absent.addAll(location.unanswered);
+        location.unanswered.clear();
+        offerNext(flow, nowMs);
+      } else {
+        askAgain(flow, nowMs);
       }
     }
   }
+
+  // A question or its answer may have been lost, and an agent may have been away for a moment.
+  private void askAgain(BalancerFlow flow, long nowMs) {
+    Location location = flow.location;
+    List<TargetSlot> absent = List.copyOf(location.absent);
+    location.absent.clear();
+    location.toAsk.addAll(absent);
+    askNext(flow, absent.size(), nowMs);
+    if (location.unanswered.isEmpty()) {
+      offerNext(flow, nowMs);
+    }
+  }
 }
--- /dev/null
+++ b/core/src/main/java/io/moorstage/core/transparent/PossibleHolders.java
@@ -0,0 +1,58 @@
+package io.moorstage.core.transparent;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Tells which targets may hold a flow of unknown place. Guarded by the lock of {@link
+ * FlowBalancer}.
+ */
+final class PossibleHolders {
+  private final BalancerTables tables;
+
+  PossibleHolders(BalancerTables tables) {
+    this.tables = tables;
+  }
+
+  /**
+   * Returns all targets that may hold a flow, in the order in which a new flow would be given to
+   * them: most flows are held by one of the first two.
+   */
+  List<TargetSlot> inOrder(BalancerFlow flow, long nowMs) {
+    Map<Integer, TargetSlot> holders = new LinkedHashMap<>();
+    for (TargetPool pool : tables.poolsOf(flow)) {
+      for (TargetSlot slot : pool.byRank(flow.id)) {
+        addListed(holders, flow, slot, nowMs);
+      }
+    }
+    addUnlisted(holders, flow, nowMs);
+    return List.copyOf(holders.values());
+  }
+
+  private void addListed(
+      Map<Integer, TargetSlot> holders, BalancerFlow flow, TargetSlot slot, long nowMs) {
+    // A target that has gone, and whose agent has fallen silent, has ended with its flows.
+    boolean gone = slot.record().phase() == TargetPhase.GONE;
+    boolean ended = gone && tables.agents().isSilent(slot.address(), nowMs);
+    if (!ended && !flow.denied.contains(slot.address())) {
+      holders.putIfAbsent(slot.address(), slot);
+    }
+  }
+
+  // A target may serve on though the source never listed it since this balancer has started.
+  private void addUnlisted(Map<Integer, TargetSlot> holders, BalancerFlow flow, long nowMs) {
+    ForwardingRoute route = tables.configuration().routeOf(flow.id);
+    for (AgentDirectory.HeardAgent agent : tables.agents().all()) {
+      int address = agent.slot().address();
+      boolean serves =
+          route == null
+              ? agent.service().equals(flow.service)
+              : route.sharesFlowsWith(agent.service());
+      boolean denied = flow.denied.contains(address);
+      if (serves && !denied && tables.agents().isHeard(address, nowMs)) {
+        holders.putIfAbsent(address, agent.slot());
+      }
+    }
+  }
+}
--- a/core/src/test/java/io/moorstage/core/transparent/FlowBalancerTest.java
+++ b/core/src/test/java/io/moorstage/core/transparent/FlowBalancerTest.java
@@ -326,9 +326,9 @@
   void agentThatAppearsDuringASearchIsAsked() {
     takeState(Fleet.state(5, Fleet.target(A, TargetPhase.READY, 1)));
     client(Fleet.data(Fleet.flow(1), 101, 10));
-    assertThat(actions.asked).isEmpty();
-    hear(A);
     assertThat(actions.asked).containsExactly(A);
+    hear(A);
+    assertThat(actions.asked).containsExactly(A, A);
     balancer.onKnowledge(A, Fleet.flow(1), FlowKnowledge.HELD, A, nowMs);
     assertThat(actions.forwardedTo).containsExactly(A);
   }
--- /dev/null
+++ b/core/src/test/java/io/moorstage/core/transparent/FlowLocatorTest.java
@@ -0,0 +1,140 @@
+package io.moorstage.core.transparent;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** The search for a flow in a service of many targets. */
+class FlowLocatorTest {
+  private static final int TARGETS = 60;
+  private static final int FIRST_ADDRESS = 0x0A010010;
+  private static final int LOW_RANK = 30;
+  private static final FlowId FLOW = Fleet.flow(1);
+
+  private final Fleet.BalancerRecord actions = new Fleet.BalancerRecord();
+  private final List<TargetRecord> targets = new ArrayList<>();
+  private FlowBalancer balancer;
+  private long nowMs = 100_000;
+  private int answeredQuestions;
+
+  @BeforeEach
+  void start() {
+    balancer = new FlowBalancer(Fleet.POLICY, actions, DecisionLog.NONE, 0);
+    for (int i = 0; i < TARGETS; i++) {
+      targets.add(Fleet.target(FIRST_ADDRESS + i, TargetPhase.READY, 1));
+    }
+    balancer.onState(Fleet.state(5, targets.toArray(new TargetRecord[0])), nowMs);
+  }
+
+  /** Returns the addresses of all targets, the flow's highest ranked one first. */
+  private List<Integer> addressesByRank() {
+    List<TargetSlot> slots = new ArrayList<>();
+    for (TargetRecord target : targets) {
+      slots.add(new TargetSlot(target, 0));
+    }
+    List<Integer> addresses = new ArrayList<>();
+    for (TargetSlot slot : new TargetPool(Fleet.SERVICE, slots, Fleet.POLICY).byRank(FLOW)) {
+      addresses.add(slot.address());
+    }
+    return addresses;
+  }
+
+  private void clientGoesOn() {
+    Segment data = Fleet.data(FLOW, 101, 10);
+    balancer.onClientSegment(data, Fleet.bytes(data), nowMs);
+  }
+
+  private void hearAllBut(int silentAddress) {
+    for (TargetRecord target : targets) {
+      if (target.address() != silentAddress) {
+        balancer.onAgent(target.address(), Fleet.SERVICE, 0, false, nowMs);
+      }
+    }
+  }
+
+  /** Answers each question once; what the silent agent is asked is lost. */
+  private void answerAll(int holder, int silentAddress) {
+    while (answeredQuestions < actions.asked.size()) {
+      int agent = actions.asked.get(answeredQuestions);
+      answeredQuestions++;
+      if (agent != silentAddress) {
+        FlowKnowledge knowledge = agent == holder ? FlowKnowledge.HELD : FlowKnowledge.NOT_HELD;
+        balancer.onKnowledge(agent, FLOW, knowledge, agent, nowMs);
+      }
+    }
+  }
+
+  private void runTicks(int periodMs, int holder, int silentAddress) {
+    int stepMs = 20;
+    for (int passedMs = 0; passedMs < periodMs; passedMs += stepMs) {
+      nowMs += stepMs;
+      hearAllBut(silentAddress);
+      balancer.onTick(nowMs);
+      answerAll(holder, silentAddress);
+    }
+  }
+
+  @Test
+  void flowHeldByATargetOfLowRankWhoseAgentIsSilentIsNotReset() {
+    int holder = addressesByRank().get(LOW_RANK);
+    hearAllBut(holder);
+    clientGoesOn();
+    answerAll(holder, holder);
+    runTicks(3 * Fleet.POLICY.searchMs(), holder, holder);
+    assertThat(actions.reset).isEmpty();
+  }
+
+  @Test
+  void flowHeldByATargetOfLowRankIsFound() {
+    int holder = addressesByRank().get(LOW_RANK);
+    hearAllBut(0);
+    clientGoesOn();
+    answerAll(holder, 0);
+    assertThat(actions.forwardedTo).containsExactly(holder);
+  }
+
+  @Test
+  void flowOfAHighRankedTargetIsFoundWithFewQuestions() {
+    int holder = addressesByRank().get(1);
+    hearAllBut(0);
+    clientGoesOn();
+    answerAll(holder, 0);
+    assertThat(actions.forwardedTo).containsExactly(holder);
+    assertThat(actions.asked.size()).isAtMost(FlowLocator.FIRST_ASKED);
+  }
+
+  @Test
+  void flowThatNoTargetHoldsIsResetOnceAllHaveBeenAsked() {
+    hearAllBut(0);
+    clientGoesOn();
+    answerAll(0, 0);
+    assertThat(new HashSet<>(actions.asked)).hasSize(TARGETS);
+    assertThat(actions.reset).containsExactly(FLOW);
+  }
+
+  @Test
+  void searchWidensAlthoughTheHighestRankedAgentDoesNotAnswer() {
+    List<Integer> ranked = addressesByRank();
+    int holder = ranked.get(LOW_RANK);
+    hearAllBut(0);
+    clientGoesOn();
+    answerAll(holder, ranked.get(0));
+    runTicks(Fleet.POLICY.locateTimeoutMs(), holder, ranked.get(0));
+    assertThat(actions.forwardedTo).containsExactly(holder);
+  }
+
+  @Test
+  void agentWhoseFirstAnswerWasLostIsAskedAgain() {
+    int holder = addressesByRank().get(LOW_RANK);
+    hearAllBut(0);
+    clientGoesOn();
+    answerAll(holder, holder);
+    runTicks(4 * Fleet.POLICY.searchPauseMs(), holder, 0);
+    assertThat(actions.forwardedTo).containsExactly(holder);
+    assertThat(actions.reset).isEmpty();
+  }
+}
--- a/forwarding/src/main/java/io/moorstage/forwarding/BalancerBeacons.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/BalancerBeacons.java
@@ -4,6 +4,7 @@
 import io.moorstage.core.transparent.TargetPhase;
 import io.moorstage.core.transparent.TargetRecord;
 import java.nio.ByteBuffer;
+import java.util.Collection;
 import java.util.Map;
 import java.util.function.LongToIntFunction;
 import javax.annotation.Nullable;
@@ -45,8 +46,12 @@
     port = peerPort;
   }
 
-  /** Sends a beacon to the agent of each target, and to each balancer that is known. */
-  synchronized void sendToAll(FleetState state, long nowMs) {
+  /**
+   * Sends a beacon to the agent of each target, and to each balancer that is known.
+   *
+   * @return the addresses of the agents
+   */
+  synchronized Collection<Integer> sendToAll(FleetState state, long nowMs) {
     int[] live = balancers.live(nowMs);
     Map<Integer, TargetRecord> agents = state.targetsByAddress();
     for (Map.Entry<Integer, TargetRecord> agent : agents.entrySet()) {
@@ -57,6 +62,7 @@
         send(peer, state.revision(), null, live, nowMs);
       }
     }
+    return agents.keySet();
   }
 
   // A balancer that the source refuses learns of the configuration before agents, which go by the
--- a/forwarding/src/main/java/io/moorstage/forwarding/BalancerDaemon.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/BalancerDaemon.java
@@ -181,7 +181,7 @@
       balancer.onTick(nowMs);
       if (nowMs >= nextBeaconMs) {
         nextBeaconMs = nowMs + BEACON_MS;
-        beacons.sendToAll(keeper.state(), nowMs);
+        balancer.onBeaconsSent(beacons.sendToAll(keeper.state(), nowMs), nowMs);
       }
       if (nowMs >= nextSweepMs) {
         nextSweepMs = nowMs + SWEEP_MS;
