Send beacons to the own zone and a few others, not to the whole fleet

Cause: each balancer sent every agent a beacon twice a second, each agent sent every balancer one up to ten times a second, and each change of a target made every balancer send to all. Change: balancers of the own zone and those that use an agent are close and get its load; others get a beacon in turn. A balancer tells the agents and balancers of its zone, four agents and four balancers elsewhere, at a change just those concerned; it says how often it wants reports, so that what it takes in stays below 100 a second. Four agents a zone keep a copy of the state. A peer of the own zone is asked for a newer state rather than one elsewhere.

--- a/core/src/main/java/io/moorstage/core/transparent/AgentDirectory.java
+++ b/core/src/main/java/io/moorstage/core/transparent/AgentDirectory.java
@@ -32,21 +32,22 @@
   }
 
   /** Notes a beacon; returns whether the agent was silent or unknown before. */
-  boolean hear(int agentAddress, String service, boolean stopping, long nowMs) {
+  boolean hear(int agentAddress, String service, String zone, boolean stopping, long nowMs) {
     HeardAgent known = heardAgents.get(agentAddress);
     boolean same = known != null && known.service().equals(service);
-    TargetSlot slot = same ? known.slot() : unlistedSlot(agentAddress, service, nowMs);
+    TargetSlot slot = same ? known.slot() : unlistedSlot(agentAddress, service, zone, nowMs);
     boolean appeared = !isHeard(agentAddress, nowMs);
     heardAgents.put(agentAddress, new HeardAgent(service, slot, stopping ? NEVER : nowMs));
     unansweredSinceMs.remove(agentAddress);
     return appeared && !stopping;
   }
 
-  private static TargetSlot unlistedSlot(int agentAddress, String service, long nowMs) {
+  private static TargetSlot unlistedSlot(
+      int agentAddress, String service, String zone, long nowMs) {
     String id = "agent-" + Integer.toHexString(agentAddress);
     return new TargetSlot(
         new TargetRecord(
-            id, service, agentAddress, "", UNLISTED_CAPACITY, TargetPhase.READY, 0, 0, 0),
+            id, service, agentAddress, zone, UNLISTED_CAPACITY, TargetPhase.READY, 0, 0, 0),
         nowMs);
   }
 
@@ -83,6 +84,17 @@
     return heardAgents.values();
   }
 
+  /** Returns how many agents have sent a beacon of late. */
+  int heardCount(long nowMs) {
+    int count = 0;
+    for (HeardAgent agent : heardAgents.values()) {
+      if (nowMs - agent.heardAtMs() <= policy.agentSilenceMs()) {
+        count++;
+      }
+    }
+    return count;
+  }
+
   /** Returns whether agents have been heard from before, and none of them within some time. */
   boolean hasLostAll(int periodMs, long nowMs) {
     for (HeardAgent agent : heardAgents.values()) {
--- a/core/src/main/java/io/moorstage/core/transparent/FlowBalancer.java
+++ b/core/src/main/java/io/moorstage/core/transparent/FlowBalancer.java
@@ -69,13 +69,14 @@
    * Takes what an agent tells of its target.
    *
    * @param service the target's service
+   * @param zone the agent's zone
    * @param busyFlows flows with a request in progress
    * @param stopping whether the agent is about to end
    * @return whether the agent was silent or unknown before
    */
   public synchronized boolean onAgent(
-      int agentAddress, String service, int busyFlows, boolean stopping, long nowMs) {
-    boolean appeared = tables.agents().hear(agentAddress, service, stopping, nowMs);
+      int agentAddress, String service, String zone, int busyFlows, boolean stopping, long nowMs) {
+    boolean appeared = tables.agents().hear(agentAddress, service, zone, stopping, nowMs);
     TargetSlot unlisted = tables.agents().get(agentAddress).slot();
     report(unlisted, busyFlows, stopping, nowMs);
     for (TargetSlot slot : tables.slots()) {
@@ -105,6 +106,11 @@
     }
   }
 
+  /** Returns how many agents have sent a beacon of late. */
+  public synchronized int heardAgentCount(long nowMs) {
+    return tables.agents().heardCount(nowMs);
+  }
+
   /** Returns whether agents have been heard from before, and none of them within some time. */
   public synchronized boolean hasLostAllAgents(int periodMs, long nowMs) {
     return tables.agents().hasLostAll(periodMs, nowMs);
--- a/core/src/test/java/io/moorstage/core/transparent/Fleet.java
+++ b/core/src/test/java/io/moorstage/core/transparent/Fleet.java
@@ -7,6 +7,7 @@
 /** Flows, segments and states for tests, and actions that are written down. */
 final class Fleet {
   static final String SERVICE = "tables";
+  static final String ZONE = "z";
   static final int SERVICE_ADDRESS = 0xC6120001;
   static final int PORT = 443;
   static final int BALANCER = 0x0A010001;
@@ -50,12 +51,13 @@
   }
 
   static TargetRecord target(int address, TargetPhase phase, long revision) {
-    return new TargetRecord("t" + address, SERVICE, address, "z", 2, phase, 0, 1, revision);
+    return new TargetRecord("t" + address, SERVICE, address, ZONE, 2, phase, 0, 1, revision);
   }
 
   /** A start of a target that was listed at a revision and not changed since. */
   static TargetRecord listed(String id, String service, int address, long revision) {
-    return new TargetRecord(id, service, address, "z", 2, TargetPhase.READY, 0, revision, revision);
+    return new TargetRecord(
+        id, service, address, ZONE, 2, TargetPhase.READY, 0, revision, revision);
   }
 
   static FleetState state(long revision, TargetRecord... targets) {
--- a/core/src/test/java/io/moorstage/core/transparent/FlowLocatorTest.java
+++ b/core/src/test/java/io/moorstage/core/transparent/FlowLocatorTest.java
@@ -51,7 +51,7 @@
   private void hearAllBut(int silentAddress) {
     for (TargetRecord target : targets) {
       if (target.address() != silentAddress) {
-        balancer.onAgent(target.address(), Fleet.SERVICE, 0, false, nowMs);
+        balancer.onAgent(target.address(), Fleet.SERVICE, Fleet.ZONE, 0, false, nowMs);
       }
     }
   }
--- a/forwarding/src/main/java/io/moorstage/forwarding/AgentDaemon.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/AgentDaemon.java
@@ -23,7 +23,17 @@
   private static final int ENDPOINTS_AFTER_MS = 250;
   private static final int FIRST_BEACONS_MS = 100;
   private static final int FIRST_BEACONS_FOR_MS = 1_500;
-  private static final int LOAD_REPORT_MS = 100;
+
+  /**
+   * Balancers of other zones that get a beacon each time, and while this node looks for its own.
+   */
+  private static final int OTHERS = 1;
+
+  private static final int OTHERS_WHILE_LOOKING = 4;
+
+  /** Addresses of balancers that a beacon names. */
+  private static final int LISTED = 8;
+
   private static final int SWEEP_MS = 1_000;
   private static final int COPY_INTERVAL_MS = 1_000;
   private static final int OTHER_ZONE_AFTER_MS = 3_000;
@@ -36,6 +46,7 @@
   private final ForwardingMetrics metrics;
   private final FlowAgent agent;
   private final PeerDirectory balancers;
+  private final LoadReports reports = new LoadReports();
   private final AddressCache peers;
   private final AddressCache clients;
   private final InetSocketAddress target;
@@ -51,6 +62,7 @@
   private volatile long copyRevision;
   private volatile long copiedAtMs;
   private volatile long staleSinceMs;
+  private long nextOthersMs;
 
   /** Creates a daemon; nothing is bound before {@link #start()}. */
   public AgentDaemon(
@@ -62,7 +74,7 @@
     this.metrics = new ForwardingMetrics(log);
     this.agent =
         new FlowAgent(settings.policy(), settings.service(), new Actions(), metrics, nowMs);
-    this.balancers = new PeerDirectory(settings.address());
+    this.balancers = new PeerDirectory(settings.address(), settings.zone());
     this.peers = new AddressCache(settings.peerPort());
     this.clients = new AddressCache(settings.clientEndpoint().port());
     this.target = UdpPort.socketAddress(settings.target().ipv4(), settings.target().port());
@@ -72,7 +84,7 @@
     this.firstReader = new FirstStateReader(source, this::isFleetHeard, this::takeCopy, log);
     metrics.gauge(ForwardingGauge.FLOWS, agent::flowCount);
     metrics.gauge(ForwardingGauge.REQUESTS, agent::busyFlows);
-    metrics.gauge(ForwardingGauge.BALANCERS, () -> balancers.live(MonotonicClock.nowMs()).length);
+    metrics.gauge(ForwardingGauge.BALANCERS, () -> balancers.liveCount(MonotonicClock.nowMs()));
     metrics.gauge(ForwardingGauge.STATE_REVISION, () -> copyRevision);
     metrics.gauge(ForwardingGauge.UNUSABLE_ITEMS, source::unusableItems);
     metrics.gauge(ForwardingGauge.LINES_LEFT_OUT, log::linesLeftOut);
@@ -85,7 +97,7 @@
     targetPort.start("target-segments", this::onTargetDatagram, log);
     peerPort.start("peer-messages", this::onPeerDatagram, log);
     reload(settings);
-    sendBeacons(MonotonicClock.nowMs());
+    sendBeacons(BEACON_MS, OTHERS_WHILE_LOOKING, MonotonicClock.nowMs());
     fetcher.start();
     if (settings.policy().uses(Mechanism.PEER_STATE_FIRST)) {
       firstReader.start();
@@ -114,10 +126,7 @@
 
   @Override
   public void run() throws InterruptedException, IOException {
-    long nextBeaconMs = 0;
     long nextSweepMs = 0;
-    long nextReportMs = 0;
-    int reportedBusy = 0;
     boolean serving = false;
     long startedAtMs = MonotonicClock.nowMs();
     while (!stopping) {
@@ -128,19 +137,15 @@
         serving = true;
         startEndpoints();
       }
-      int busy = agent.busyFlows();
-      boolean loadChanged = busy != reportedBusy && nowMs >= nextReportMs;
-      if (nowMs >= nextBeaconMs || loadChanged) {
-        // Nodes that start together find each other sooner by more frequent beacons at first.
-        boolean starting = nowMs - startedAtMs < FIRST_BEACONS_FOR_MS;
-        nextBeaconMs = nowMs + (starting ? FIRST_BEACONS_MS : BEACON_MS);
-        nextReportMs = nowMs + LOAD_REPORT_MS;
-        reportedBusy = busy;
-        sendBeacons(nowMs);
-      }
+      // Nodes that start together find each other sooner by more frequent beacons at first.
+      boolean starting = nowMs - startedAtMs < FIRST_BEACONS_FOR_MS;
+      int periodMs = starting ? FIRST_BEACONS_MS : BEACON_MS;
+      boolean looking = starting || balancers.liveCount(nowMs) == 0;
+      sendBeacons(periodMs, looking ? OTHERS_WHILE_LOOKING : OTHERS, nowMs);
       if (nowMs >= nextSweepMs) {
         nextSweepMs = nowMs + SWEEP_MS;
         agent.onSweep(nowMs);
+        reports.sweep(nowMs);
       }
     }
     log.event("stopped", "flows", agent.flowCount());
@@ -150,7 +155,11 @@
   @Override
   public void stop() {
     stopping = true;
-    sendBeacons(MonotonicClock.nowMs());
+    long nowMs = MonotonicClock.nowMs();
+    PeerMessage last = beaconNow(nowMs);
+    for (int balancer : balancers.close(nowMs)) {
+      sendBeacon(last, balancer);
+    }
     log.event("stopping", "flows", agent.flowCount());
   }
 
@@ -174,21 +183,34 @@
     return true;
   }
 
-  private void sendBeacons(long nowMs) {
-    PeerMessage beacon = beaconNow(nowMs);
-    for (int balancer : balancers.known(nowMs)) {
-      sendBeacon(beacon, balancer);
+  /** Sends beacons to the close balancers for which one is due, and at times to a few others. */
+  private synchronized void sendBeacons(int periodMs, int others, long nowMs) {
+    int busyFlows = agent.busyFlows();
+    PeerMessage beacon = null;
+    for (int balancer : balancers.close(nowMs)) {
+      if (reports.takeIfDue(balancer, busyFlows, periodMs, nowMs)) {
+        beacon = beacon == null ? beaconNow(nowMs) : beacon;
+        sendBeacon(beacon, balancer);
+      }
+    }
+    if (nowMs >= nextOthersMs) {
+      nextOthersMs = nowMs + periodMs;
+      for (int balancer : balancers.others(others, nowMs)) {
+        sendBeacon(beaconNow(nowMs), balancer);
+      }
     }
   }
 
   private PeerMessage beaconNow(long nowMs) {
+    int[] live = balancers.live(settings.zone(), LISTED, nowMs);
     return new PeerMessage.AgentBeacon(
-        settings.service(), copyRevision, agent.busyFlows(), stopping, balancers.live(nowMs));
+        settings.service(), settings.zone(), copyRevision, agent.busyFlows(), stopping, live);
   }
 
   private synchronized void sendBeacon(PeerMessage beacon, int address) {
     beaconOut.clear();
     PeerMessageCodec.encode(beacon, beaconOut);
+    metrics.count(ForwardingCounter.BEACONS);
     metrics.add(ForwardingCounter.BEACON_BYTES, beaconOut.position());
     peerPort.send(beaconOut.flip(), peers.get(address));
   }
@@ -229,6 +251,7 @@
       metrics.count(ForwardingCounter.BAD_PEER_DATAGRAMS);
       return;
     }
+    balancers.used(balancer, nowMs);
     agent.onForwarded(
         balancer,
         forward.service(),
@@ -245,8 +268,7 @@
     for (int address : beacon.balancers()) {
       balancers.told(address, nowMs);
     }
-    int[] live = balancers.live(nowMs);
-    if (live.length > 0 && beacon.balancers().length == 0) {
+    if (balancers.liveCount(nowMs) > 0 && beacon.balancers().length == 0) {
       sendBeacon(beaconNow(nowMs), peer);
     }
   }
@@ -264,7 +286,7 @@
 
   private void onBalancerBeacon(int balancer, PeerMessage.BalancerBeacon beacon, long nowMs) {
     fleetHeard |= beacon.revision() > 0;
-    boolean appeared = balancers.heard(balancer, nowMs);
+    boolean appeared = balancers.heard(balancer, beacon.zone(), beacon.revision(), nowMs);
     for (int address : beacon.balancers()) {
       balancers.told(address, nowMs);
     }
@@ -281,17 +303,22 @@
     if (beacon.capacity() > 0) {
       agent.onCapacity(beacon.capacity());
     }
+    noteWantedReports(balancer, beacon.reportIntervalMs());
     if (appeared) {
       log.event("balancer-heard", "peer", Endpoint.of(balancer, 0).host());
-      sendBeacons(nowMs);
+      sendBeacon(beaconNow(nowMs), balancer);
     }
     copyIfNewer(balancer, beacon, nowMs);
   }
 
+  private synchronized void noteWantedReports(int balancer, int intervalMs) {
+    reports.wanted(balancer, intervalMs);
+  }
+
   // A copy of the state, for balancers that start while the source is away. Bytes between zones
   // cost, so it comes from the same zone as long as there is a balancer.
   private void copyIfNewer(int balancer, PeerMessage.BalancerBeacon beacon, long nowMs) {
-    if (beacon.revision() <= copyRevision) {
+    if (beacon.revision() <= copyRevision || !beacon.keepsCopy()) {
       staleSinceMs = nowMs;
       return;
     }
--- a/forwarding/src/main/java/io/moorstage/forwarding/BalancerBeacons.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/BalancerBeacons.java
@@ -4,22 +4,49 @@
 import io.moorstage.core.transparent.TargetPhase;
 import io.moorstage.core.transparent.TargetRecord;
 import java.nio.ByteBuffer;
+import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Map;
+import java.util.List;
 import java.util.function.LongToIntFunction;
 import javax.annotation.Nullable;
 
 /**
  * A balancer's beacons: which revision it knows, what the source tells of an agent's target, and
  * which balancers it hears. Thread-safe.
+ *
+ * <p>They go to the agents and balancers of the own zone, and in turn to a few others: an agent
+ * hears of its target from each balancer of its zone, and from some elsewhere should there be none.
  */
 final class BalancerBeacons {
+  /** Agents of a small fleet get every beacon. */
+  static final int FEW_AGENTS = 16;
+
+  /**
+   * Bounds the agents of the own zone that get one beacon; the next one goes on with the others.
+   */
+  static final int MAX_AGENTS_OF_ZONE = 64;
+
+  /** Agents of other zones, and balancers of other zones, that get one beacon. */
+  static final int OTHERS = 4;
+
+  /** Addresses of balancers that a beacon names. */
+  private static final int LISTED = 8;
+
+  /** Reports that a balancer takes in a second: 100 of some 65 bytes keep below 9 KB a second. */
+  private static final int REPORTS_PER_S = 100;
+
+  private static final int MS_PER_S = 1_000;
+
   private final String zone;
   private final PeerDirectory balancers;
   private final AddressCache peers;
   private final ForwardingMetrics metrics;
   private final LongToIntFunction confirmedAgeMs;
+  private final LongToIntFunction heardAgents;
   private final ByteBuffer out = ByteBuffer.allocateDirect(PeerMessageCodec.MAX_BYTES);
+  private ListedAgents agents = ListedAgents.NONE;
+  private int nextOfZone;
+  private int nextElsewhere;
   @Nullable private UdpPort port;
 
   /**
@@ -27,17 +54,20 @@
    *
    * @param confirmedAgeMs from the time of a beacon, how long ago the source confirmed the state;
    *     negative if this node does not read it
+   * @param heardAgents from the time of a beacon, how many agents send beacons to this node
    */
   BalancerBeacons(
       String zone,
       PeerDirectory balancers,
       AddressCache peers,
       LongToIntFunction confirmedAgeMs,
+      LongToIntFunction heardAgents,
       ForwardingMetrics metrics) {
     this.zone = zone;
     this.balancers = balancers;
     this.peers = peers;
     this.confirmedAgeMs = confirmedAgeMs;
+    this.heardAgents = heardAgents;
     this.metrics = metrics;
   }
 
@@ -47,50 +77,102 @@
   }
 
   /**
-   * Sends a beacon to the agent of each target, and to each balancer that is known.
+   * Sends a beacon to agents and balancers, most of them of the own zone.
    *
    * @return the addresses of the agents
    */
-  synchronized Collection<Integer> sendToAll(FleetState state, long nowMs) {
-    int[] live = balancers.live(nowMs);
-    Map<Integer, TargetRecord> agents = state.targetsByAddress();
-    for (Map.Entry<Integer, TargetRecord> agent : agents.entrySet()) {
-      send(agent.getKey(), state.revision(), agent.getValue(), live, nowMs);
+  synchronized Collection<Integer> sendRegular(FleetState state, long nowMs) {
+    agents = agents.of(state);
+    int reportIntervalMs = reportIntervalMs(nowMs);
+    List<Integer> chosen = agentsInTurn();
+    for (int agent : chosen) {
+      send(agent, state, reportIntervalMs, nowMs);
     }
-    for (int peer : balancers.known(nowMs)) {
-      if (!agents.containsKey(peer)) {
-        send(peer, state.revision(), null, live, nowMs);
+    for (int peer : balancers.close(nowMs)) {
+      if (agents.targetAt(peer) == null) {
+        send(peer, state, reportIntervalMs, nowMs);
       }
     }
-    return agents.keySet();
+    for (int peer : balancers.others(OTHERS, nowMs)) {
+      send(peer, state, reportIntervalMs, nowMs);
+    }
+    return chosen;
   }
 
-  // A balancer that the source refuses learns of the configuration before agents, which go by the
-  // newest they have seen, give back what it forwards.
-  synchronized void sendToBalancers(FleetState state, long nowMs) {
-    int[] live = balancers.live(nowMs);
-    for (int peer : live) {
-      send(peer, state.revision(), null, live, nowMs);
+  private List<Integer> agentsInTurn() {
+    List<Integer> ofZone = new ArrayList<>();
+    List<Integer> elsewhere = new ArrayList<>();
+    boolean few = agents.count() <= FEW_AGENTS;
+    for (TargetRecord target : agents.targets()) {
+      boolean isClose = few || target.zone().equals(zone);
+      (isClose ? ofZone : elsewhere).add(target.address());
+    }
+    List<Integer> chosen = new ArrayList<>();
+    nextOfZone = takeInTurn(ofZone, nextOfZone, MAX_AGENTS_OF_ZONE, chosen);
+    nextElsewhere = takeInTurn(elsewhere, nextElsewhere, OTHERS, chosen);
+    return chosen;
+  }
+
+  /** Takes some elements from an index on, over the end if need be; returns the next index. */
+  private static int takeInTurn(List<Integer> from, int index, int count, List<Integer> chosen) {
+    int taken = Math.min(count, from.size());
+    for (int i = 0; i < taken; i++) {
+      chosen.add(from.get((index + i) % from.size()));
+    }
+    return taken == 0 ? 0 : (index + taken) % from.size();
+  }
+
+  /**
+   * Tells what has changed: agents of the own zone what the source says of their targets, and
+   * balancers that there is a newer state. A balancer that the source refuses thus learns of a
+   * configuration before agents, which go by the newest they have seen, give back what it forwards.
+   */
+  synchronized void sendChanges(FleetState state, List<TargetRecord> changed, long nowMs) {
+    int reportIntervalMs = reportIntervalMs(nowMs);
+    agents = agents.of(state);
+    boolean few = agents.count() <= FEW_AGENTS;
+    for (TargetRecord target : changed) {
+      if (few || target.zone().equals(zone)) {
+        send(target.address(), state, reportIntervalMs, nowMs);
+      }
+    }
+    for (int peer : balancers.behind(state.revision(), nowMs)) {
+      send(peer, state, reportIntervalMs, nowMs);
     }
   }
 
   /** Sends a beacon to one node. */
   synchronized void sendTo(int peer, FleetState state, long nowMs) {
-    TargetRecord target = state.targetsByAddress().get(peer);
-    send(peer, state.revision(), target, balancers.live(nowMs), nowMs);
+    send(peer, state, reportIntervalMs(nowMs), nowMs);
+  }
+
+  // Each of the agents sends a report at most once in this time.
+  private int reportIntervalMs(long nowMs) {
+    return heardAgents.applyAsInt(nowMs) * MS_PER_S / REPORTS_PER_S;
   }
 
-  private void send(
-      int address, long revision, @Nullable TargetRecord target, int[] live, long nowMs) {
+  private void send(int address, FleetState state, int reportIntervalMs, long nowMs) {
     if (port == null) {
       return;
     }
+    agents = agents.of(state);
+    TargetRecord target = agents.targetAt(address);
     TargetPhase phase = target == null ? null : target.phase();
     int capacity = target == null ? 0 : target.capacity();
+    String receiversZone = target == null ? zone : target.zone();
     out.clear();
-    int ageMs = confirmedAgeMs.applyAsInt(nowMs);
     PeerMessageCodec.encode(
-        new PeerMessage.BalancerBeacon(revision, zone, phase, capacity, ageMs, live), out);
+        new PeerMessage.BalancerBeacon(
+            state.revision(),
+            zone,
+            phase,
+            capacity,
+            agents.keepsCopy(address),
+            reportIntervalMs,
+            confirmedAgeMs.applyAsInt(nowMs),
+            balancers.live(receiversZone, LISTED, nowMs)),
+        out);
+    metrics.count(ForwardingCounter.BEACONS);
     metrics.add(ForwardingCounter.BEACON_BYTES, out.position());
     port.send(out.flip(), peers.get(address));
   }
--- a/forwarding/src/main/java/io/moorstage/forwarding/BalancerDaemon.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/BalancerDaemon.java
@@ -76,12 +76,18 @@
     this.metrics = new ForwardingMetrics(log);
     this.balancer = new FlowBalancer(policy, new Actions(), metrics, MonotonicClock.nowMs());
     this.keeper = new StateKeeper(policy.goneMemoryMs(), this::onState);
-    this.balancers = new PeerDirectory(settings.address());
+    this.balancers = new PeerDirectory(settings.address(), settings.zone());
     this.peers = new AddressCache(settings.peerPort());
     this.changes = new StateChangeLog(log);
     this.readers = new SourceReaders(settings.address(), settings.zone());
     this.beacons =
-        new BalancerBeacons(settings.zone(), balancers, peers, this::confirmedAgeMs, metrics);
+        new BalancerBeacons(
+            settings.zone(),
+            balancers,
+            peers,
+            this::confirmedAgeMs,
+            balancer::heardAgentCount,
+            metrics);
     this.clients = new AddressCache(settings.clientEndpoint().port());
     this.follower =
         new SourceFollower(
@@ -93,7 +99,7 @@
 
   private void nameGauges(StateSource source) {
     metrics.gauge(ForwardingGauge.FLOWS, balancer::flowCount);
-    metrics.gauge(ForwardingGauge.BALANCERS, () -> balancers.live(MonotonicClock.nowMs()).length);
+    metrics.gauge(ForwardingGauge.BALANCERS, () -> balancers.liveCount(MonotonicClock.nowMs()));
     metrics.gauge(ForwardingGauge.STATE_REVISION, () -> keeper.state().revision());
     metrics.gauge(
         ForwardingGauge.CONFIGURATION_VERSION, () -> keeper.state().configuration().version());
@@ -126,7 +132,7 @@
     peerPort.start("peer-messages", this::onPeerDatagram, log);
     follower.start();
     reload(settings);
-    beacons.sendToAll(keeper.state(), MonotonicClock.nowMs());
+    beacons.sendRegular(keeper.state(), MonotonicClock.nowMs());
     fetcher.start();
   }
 
@@ -181,7 +187,7 @@
       balancer.onTick(nowMs);
       if (nowMs >= nextBeaconMs) {
         nextBeaconMs = nowMs + BEACON_MS;
-        balancer.onBeaconsSent(beacons.sendToAll(keeper.state(), nowMs), nowMs);
+        balancer.onBeaconsSent(beacons.sendRegular(keeper.state(), nowMs), nowMs);
       }
       if (nowMs >= nextSweepMs) {
         nextSweepMs = nowMs + SWEEP_MS;
@@ -197,13 +203,13 @@
   // A balancer that hears no agent, and few other balancers, is cut off: its clients do better
   // elsewhere. If the other balancers are there, it is the agents that are away.
   private void checkIsolation(long nowMs) {
-    int live = balancers.heardWithin(ISOLATED_AFTER_MS, nowMs);
-    int known = balancers.heardWithin(MEMBERSHIP_MS, nowMs);
-    boolean agentsSilent = balancer.hasLostAllAgents(ISOLATED_AFTER_MS, nowMs);
-    boolean cutOff = agentsSilent && live * 2 < known && policy.uses(Mechanism.ISOLATION);
+    boolean cutOff =
+        policy.uses(Mechanism.ISOLATION)
+            && balancer.hasLostAllAgents(ISOLATED_AFTER_MS, nowMs)
+            && balancers.hasLostMost(ISOLATED_AFTER_MS, MEMBERSHIP_MS, nowMs);
     if (cutOff != isolated) {
       isolated = cutOff;
-      log.event(cutOff ? "isolated" : "reconnected", "balancers", live, "of", known);
+      log.event(cutOff ? "isolated" : "reconnected", "balancers", balancers.liveCount(nowMs));
     }
   }
 
@@ -232,15 +238,13 @@
   private void onState(FleetState before, FleetState after, long nowMs) {
     balancer.onState(after, nowMs);
     boolean configurationChanged = changes.logConfiguration(before, after);
-    boolean targetsChanged = changes.logTargets(before, after);
+    List<TargetRecord> changedTargets = changes.logTargets(before, after);
     if (!ready && !stopping && after.configuration().version() > 0) {
       ready = true;
       log.event("ready", "revision", after.revision());
     }
-    if (targetsChanged) {
-      beacons.sendToAll(after, nowMs);
-    } else if (configurationChanged) {
-      beacons.sendToBalancers(after, nowMs);
+    if (configurationChanged || !changedTargets.isEmpty()) {
+      beacons.sendChanges(after, changedTargets, nowMs);
     }
   }
 
@@ -298,8 +302,9 @@
     }
   }
 
-  private void noteRevision(int peerAddress, long revision, long nowMs) {
-    lag.told(peerAddress, revision, keeper.state().revision(), nowMs);
+  private void noteRevision(int peerAddress, String zone, long revision, long nowMs) {
+    boolean isNear = zone.equals(settings.zone());
+    lag.told(peerAddress, isNear, revision, keeper.state().revision(), nowMs);
     catchUpIfBehind(nowMs);
   }
 
@@ -350,12 +355,19 @@
     } else if (message instanceof PeerMessage.AgentBeacon beacon) {
       boolean appeared =
           balancer.onAgent(
-              sourceAddress, beacon.service(), beacon.busyFlows(), beacon.stopping(), nowMs);
-      if (appeared) {
+              sourceAddress,
+              beacon.service(),
+              beacon.zone(),
+              beacon.busyFlows(),
+              beacon.stopping(),
+              nowMs);
+      boolean isNear = beacon.zone().equals(settings.zone());
+      boolean looksForBalancers = beacon.balancers().length == 0;
+      if (appeared && (isNear || looksForBalancers)) {
         beacons.sendTo(sourceAddress, keeper.state(), nowMs);
       }
       learn(beacon.balancers(), nowMs);
-      noteRevision(sourceAddress, beacon.revision(), nowMs);
+      noteRevision(sourceAddress, beacon.zone(), beacon.revision(), nowMs);
     }
   }
 
@@ -388,10 +400,10 @@
   }
 
   private void onBalancerBeacon(int peer, PeerMessage.BalancerBeacon beacon, long nowMs) {
-    boolean appeared = balancers.heard(peer, nowMs);
+    boolean appeared = balancers.heard(peer, beacon.zone(), beacon.revision(), nowMs);
     learn(beacon.balancers(), nowMs);
     noteReader(peer, beacon, nowMs);
-    noteRevision(peer, beacon.revision(), nowMs);
+    noteRevision(peer, beacon.zone(), beacon.revision(), nowMs);
     if (appeared) {
       log.event("balancer-heard", "peer", Endpoint.of(peer, 0).host());
       beacons.sendTo(peer, keeper.state(), nowMs);
@@ -439,9 +451,9 @@
 
     @Override
     public void askBalancers(FlowId flow) {
-      int[] live = balancers.live(MonotonicClock.nowMs());
-      for (int i = 0; i < live.length && i < MAX_ASKED_BALANCERS; i++) {
-        ask(live[i], flow);
+      long nowMs = MonotonicClock.nowMs();
+      for (int peer : balancers.live(settings.zone(), MAX_ASKED_BALANCERS, nowMs)) {
+        ask(peer, flow);
       }
     }
 
@@ -454,7 +466,9 @@
 
     @Override
     public void catchUp(int peerAddress, long configurationVersion) {
-      fetcher.fetch(peerAddress);
+      // Not each agent keeps a copy of the state.
+      int ahead = balancers.mostAdvanced(keeper.state().revision(), MonotonicClock.nowMs());
+      fetcher.fetch(ahead == 0 ? peerAddress : ahead);
     }
   }
 }
--- a/forwarding/src/main/java/io/moorstage/forwarding/ForwardingCounter.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/ForwardingCounter.java
@@ -11,6 +11,7 @@
   BAD_CLIENT_DATAGRAMS("Clients' datagrams that are no segment: too short, or of a wrong length."),
   BAD_TARGET_DATAGRAMS("The target's datagrams that are no segment."),
   BAD_PEER_DATAGRAMS("Other nodes' datagrams that are no message, or carry no segment."),
+  BEACONS("Beacons sent to other nodes."),
   BEACON_BYTES("Bytes of beacons sent to other nodes."),
   SOURCE_ANSWERS("Usable answers of the configuration source."),
   SOURCE_UNREACHABLE("Calls to the source without a connection, or without an answer in time."),
--- a/forwarding/src/main/java/io/moorstage/forwarding/PeerMessage.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/PeerMessage.java
@@ -62,15 +62,19 @@
    * @param zone the balancer's zone
    * @param phase how far the receiving agent's target is in its life, or null if not known
    * @param capacity the requests that this target works on at a time, 0 if not known
+   * @param keepsCopy whether the receiving agent keeps a copy of the state
+   * @param reportIntervalMs how often at most the balancer wants to hear of the agent's load
    * @param confirmedAgeMs how long ago the source confirmed the state; negative if the balancer
    *     does not read the source, or is not answered
-   * @param balancers addresses of balancers that it has heard from
+   * @param balancers addresses of some balancers that it has heard from
    */
   record BalancerBeacon(
       long revision,
       String zone,
       @Nullable TargetPhase phase,
       int capacity,
+      boolean keepsCopy,
+      int reportIntervalMs,
       int confirmedAgeMs,
       int[] balancers)
       implements PeerMessage {}
@@ -79,12 +83,13 @@
    * An agent tells that it lives.
    *
    * @param service the service of its target
+   * @param zone the agent's zone
    * @param revision the source's revision of the state copy that the agent keeps, 0 for none
    * @param busyFlows flows of its target with a request in progress
    * @param stopping whether the agent is about to end
-   * @param balancers addresses of balancers that it has heard from
+   * @param balancers addresses of some balancers that it has heard from
    */
   record AgentBeacon(
-      String service, long revision, int busyFlows, boolean stopping, int[] balancers)
+      String service, String zone, long revision, int busyFlows, boolean stopping, int[] balancers)
       implements PeerMessage {}
 }
--- a/forwarding/src/main/java/io/moorstage/forwarding/PeerMessageCodec.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/PeerMessageCodec.java
@@ -66,11 +66,13 @@
       putText(beacon.zone(), out);
       TargetPhase phase = beacon.phase();
       out.put((byte) (phase == null ? NO_PHASE : phase.ordinal()));
-      out.putInt(beacon.capacity()).putInt(beacon.confirmedAgeMs());
+      out.putInt(beacon.capacity()).put((byte) (beacon.keepsCopy() ? 1 : 0));
+      out.putInt(beacon.reportIntervalMs()).putInt(beacon.confirmedAgeMs());
       putAddresses(beacon.balancers(), out);
     } else if (message instanceof PeerMessage.AgentBeacon beacon) {
       out.put(AGENT_BEACON);
       putText(beacon.service(), out);
+      putText(beacon.zone(), out);
       out.putLong(beacon.revision()).putInt(beacon.busyFlows());
       out.put((byte) (beacon.stopping() ? 1 : 0));
       putAddresses(beacon.balancers(), out);
@@ -128,7 +130,7 @@
         return decodeBalancerBeacon(in);
       case AGENT_BEACON:
         return new PeerMessage.AgentBeacon(
-            getText(in), in.getLong(), in.getInt(), in.get() != 0, getAddresses(in));
+            getText(in), getText(in), in.getLong(), in.getInt(), in.get() != 0, getAddresses(in));
       default:
         return null;
     }
@@ -174,7 +176,14 @@
     }
     TargetPhase phase = phaseNumber == NO_PHASE ? null : phases[phaseNumber];
     return new PeerMessage.BalancerBeacon(
-        revision, zone, phase, in.getInt(), in.getInt(), getAddresses(in));
+        revision,
+        zone,
+        phase,
+        in.getInt(),
+        in.get() != 0,
+        in.getInt(),
+        in.getInt(),
+        getAddresses(in));
   }
 
   private static String getText(ByteBuffer in) {
--- a/forwarding/src/main/java/io/moorstage/forwarding/StateChangeLog.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/StateChangeLog.java
@@ -5,6 +5,8 @@
 import io.moorstage.core.transparent.ForwardingConfiguration;
 import io.moorstage.core.transparent.ForwardingRoute;
 import io.moorstage.core.transparent.TargetRecord;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Locale;
 
 /** Logs what a newer state changes for this node. */
@@ -42,13 +44,13 @@
     return shortestMs;
   }
 
-  /** Logs targets that are new or in another phase; returns whether there are any. */
-  boolean logTargets(FleetState before, FleetState after) {
-    boolean changed = false;
+  /** Logs targets that are new or in another phase; returns them. */
+  List<TargetRecord> logTargets(FleetState before, FleetState after) {
+    List<TargetRecord> changed = new ArrayList<>(0);
     for (TargetRecord target : after.targets()) {
       TargetRecord known = before.target(target.id());
       if (known == null || known.phase() != target.phase()) {
-        changed = true;
+        changed.add(target);
         logTarget(target);
       }
     }
--- a/forwarding/src/main/java/io/moorstage/forwarding/StateLag.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/StateLag.java
@@ -8,16 +8,24 @@
   private static final int SOURCE_DELAY_MS = 150;
 
   private int aheadPeer;
+  private boolean aheadPeerIsNear;
   private long aheadRevision;
   private long sinceMs;
   private boolean behind;
 
-  /** A peer has told up to which revision it knows all. */
-  synchronized void told(int peer, long revision, long ownRevision, long nowMs) {
+  /**
+   * A peer has told up to which revision it knows all.
+   *
+   * @param isNear whether the peer is in this node's zone: such a one is asked rather than others
+   */
+  synchronized void told(int peer, boolean isNear, long revision, long ownRevision, long nowMs) {
     if (revision <= ownRevision) {
       return;
     }
-    aheadPeer = peer;
+    if (!behind || isNear || !aheadPeerIsNear) {
+      aheadPeer = peer;
+      aheadPeerIsNear = isNear;
+    }
     if (!behind) {
       behind = true;
       sinceMs = nowMs;
@@ -39,8 +47,9 @@
       behind = false;
       return 0;
     }
-    // The source usually tells a moment later. One that has not answered will not.
-    boolean waits = ownRevision > 0 && sourceAnswers;
+    // The source, or a peer of the same zone, usually tells a moment later. A source that has not
+    // answered will not.
+    boolean waits = ownRevision > 0 && (sourceAnswers || !aheadPeerIsNear);
     if (waits && nowMs - sinceMs <= SOURCE_DELAY_MS) {
       return 0;
     }
--- /dev/null
+++ b/forwarding/src/test/java/io/moorstage/forwarding/ListedAgentsTest.java
@@ -0,0 +1,49 @@
+package io.moorstage.forwarding;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.moorstage.core.transparent.FleetState;
+import io.moorstage.core.transparent.ForwardingConfiguration;
+import io.moorstage.core.transparent.TargetPhase;
+import io.moorstage.core.transparent.TargetRecord;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class ListedAgentsTest {
+
+  private static FleetState state(int targetsOfEachZone, TargetPhase phase) {
+    List<TargetRecord> targets = new ArrayList<>();
+    for (int i = 0; i < targetsOfEachZone; i++) {
+      targets.add(new TargetRecord("a" + i, "s", 100 + i, "lac", 2, phase, 0, 1, 1));
+      targets.add(new TargetRecord("b" + i, "s", 500 + i, "ariana", 2, phase, 0, 1, 1));
+    }
+    return FleetState.of(3, ForwardingConfiguration.NONE, targets);
+  }
+
+  private static int keepers(ListedAgents agents, int firstAddress) {
+    int count = 0;
+    for (int address = firstAddress; address < firstAddress + 300; address++) {
+      count += agents.keepsCopy(address) ? 1 : 0;
+    }
+    return count;
+  }
+
+  @Test
+  void fewAgentsOfEachZoneKeepACopyHoweverManyThereAre() {
+    ListedAgents agents = ListedAgents.NONE.of(state(238, TargetPhase.READY));
+    assertThat(agents.count()).isEqualTo(476);
+    assertThat(keepers(agents, 100)).isEqualTo(ListedAgents.COPIES_PER_ZONE);
+    assertThat(keepers(agents, 500)).isEqualTo(ListedAgents.COPIES_PER_ZONE);
+  }
+
+  @Test
+  void allAgentsOfASmallZoneKeepACopy() {
+    assertThat(keepers(ListedAgents.NONE.of(state(3, TargetPhase.READY)), 100)).isEqualTo(3);
+  }
+
+  @Test
+  void agentsBesideTargetsThatHaveGoneKeepNone() {
+    assertThat(keepers(ListedAgents.NONE.of(state(3, TargetPhase.GONE)), 100)).isEqualTo(0);
+  }
+}
--- a/forwarding/src/test/java/io/moorstage/forwarding/PeerMessageCodecTest.java
+++ b/forwarding/src/test/java/io/moorstage/forwarding/PeerMessageCodecTest.java
@@ -83,14 +83,17 @@
         (PeerMessage.BalancerBeacon)
             throughTheWire(
                 new PeerMessage.BalancerBeacon(
-                    8, "lac", TargetPhase.DRAINING, 5, 120, new int[] {1, 2}));
+                    8, "lac", TargetPhase.DRAINING, 5, true, 140, 120, new int[] {1, 2}));
     assertThat(read.phase()).isEqualTo(TargetPhase.DRAINING);
+    assertThat(read.keepsCopy()).isTrue();
+    assertThat(read.reportIntervalMs()).isEqualTo(140);
     assertThat(read.confirmedAgeMs()).isEqualTo(120);
     assertThat(read.balancers()).asList().containsExactly(1, 2).inOrder();
 
     PeerMessage.AgentBeacon agent =
         (PeerMessage.AgentBeacon)
-            throughTheWire(new PeerMessage.AgentBeacon("s", 3, 4, true, new int[0]));
+            throughTheWire(new PeerMessage.AgentBeacon("s", "lac", 3, 4, true, new int[0]));
+    assertThat(agent.zone()).isEqualTo("lac");
     assertThat(agent.stopping()).isTrue();
     assertThat(agent.busyFlows()).isEqualTo(4);
   }
