Keep a new flow in its zone while a target there has room

Change: the less loaded of the two highest ranked targets of the balancer's zone gets the flow if it has a free slot and has had half of its slots free on average; otherwise the two highest ranked of all are compared as before, so that a zone with more clients than targets, or with a burst, spreads its flows. A lost flow is looked for in the same order.

--- a/core/src/main/java/io/moorstage/core/transparent/BalancerTables.java
+++ b/core/src/main/java/io/moorstage/core/transparent/BalancerTables.java
@@ -16,6 +16,7 @@
   private static final long NEVER = Long.MIN_VALUE / 2;
 
   private final ForwardingPolicy policy;
+  private final String zone;
   private final BalancerActions actions;
   private final long startedAtMs;
   private final Map<FlowId, BalancerFlow> flows = new HashMap<>();
@@ -25,12 +26,13 @@
   private long stateAtMs;
   private long firstStateAtMs = NEVER;
 
-  BalancerTables(ForwardingPolicy policy, BalancerActions actions, long nowMs) {
+  BalancerTables(ForwardingPolicy policy, String zone, BalancerActions actions, long nowMs) {
     this.policy = policy;
+    this.zone = zone;
     this.actions = actions;
     this.startedAtMs = nowMs;
     this.agents = new AgentDirectory(policy);
-    this.pools = TargetPools.empty(policy);
+    this.pools = TargetPools.empty(policy, zone);
   }
 
   void takeState(FleetState newer, long nowMs) {
@@ -88,7 +90,7 @@
     if (listed != null) {
       slots.addAll(listed.slots());
     }
-    return new TargetPool(service, slots, policy);
+    return new TargetPool(service, zone, slots, policy);
   }
 
   private List<TargetSlot> unlistedOf(String service, @Nullable TargetPool listed, long nowMs) {
--- a/core/src/main/java/io/moorstage/core/transparent/FlowBalancer.java
+++ b/core/src/main/java/io/moorstage/core/transparent/FlowBalancer.java
@@ -27,15 +27,16 @@
    * Creates a balancer without state.
    *
    * @param policy times and bounds
+   * @param zone the balancer's zone
    * @param actions takes what is decided
    * @param log takes each decision
    * @param nowMs the time of the start
    */
   public FlowBalancer(
-      ForwardingPolicy policy, BalancerActions actions, DecisionLog log, long nowMs) {
+      ForwardingPolicy policy, String zone, BalancerActions actions, DecisionLog log, long nowMs) {
     this.policy = policy;
     this.actions = actions;
-    this.tables = new BalancerTables(policy, actions, nowMs);
+    this.tables = new BalancerTables(policy, zone, actions, nowMs);
     this.opener = new FlowOpener(policy, actions, log, tables);
     this.locator = new FlowLocator(policy, actions, log, tables);
   }
--- a/core/src/main/java/io/moorstage/core/transparent/FlowLocator.java
+++ b/core/src/main/java/io/moorstage/core/transparent/FlowLocator.java
@@ -18,7 +18,7 @@
  * is concluded only when every agent has answered.
  */
 final class FlowLocator {
-  /** A new flow goes to one of its two highest ranked targets; one in each group may be away. */
+  /** A new flow goes to one of its two highest ranked targets of the zone, or of all. */
   static final int FIRST_ASKED = 4;
 
   /** Each further round asks so many times as many agents: three rounds cover 84 targets. */
--- a/core/src/main/java/io/moorstage/core/transparent/Mechanism.java
+++ b/core/src/main/java/io/moorstage/core/transparent/Mechanism.java
@@ -9,6 +9,8 @@
 public enum Mechanism {
   /** A new flow goes to the less loaded of two targets, not just to the highest ranked one. */
   TWO_CHOICES("two-choices"),
+  /** A new flow stays in the balancer's zone as long as a target there has room. */
+  OWN_ZONE_FIRST("own-zone-first"),
   /** Load is what agents report, not just what this balancer has placed. */
   LOAD_REPORTS("load-reports"),
   /** A request waits at its agent while the target is at its limit. */
--- a/core/src/main/java/io/moorstage/core/transparent/PossibleHolders.java
+++ b/core/src/main/java/io/moorstage/core/transparent/PossibleHolders.java
@@ -17,12 +17,12 @@
 
   /**
    * Returns all targets that may hold a flow, in the order in which a new flow would be given to
-   * them: most flows are held by one of the first two.
+   * them: most flows are held by one of the first four.
    */
   List<TargetSlot> inOrder(BalancerFlow flow, long nowMs) {
     Map<Integer, TargetSlot> holders = new LinkedHashMap<>();
     for (TargetPool pool : tables.poolsOf(flow)) {
-      for (TargetSlot slot : pool.byRank(flow.id)) {
+      for (TargetSlot slot : pool.byLikelihood(flow.id)) {
         addListed(holders, flow, slot, nowMs);
       }
     }
--- a/core/src/main/java/io/moorstage/core/transparent/TargetPool.java
+++ b/core/src/main/java/io/moorstage/core/transparent/TargetPool.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import javax.annotation.Nullable;
 
 /**
@@ -12,17 +14,31 @@
  */
 public final class TargetPool {
   private static final int REPORT_VALID_MS = 1_500;
+  private static final int CHOICES = 2;
   private static final double SLOW_START_FACTOR = 2.5;
 
+  /** A target has room while a new request finds a free slot ... */
+  private static final double FREE_LOAD = 1.0;
+
+  /** ... and half of its slots are free on average, which leaves place for a burst. */
+  private static final double ROOMY_USE = 0.5;
+
   private final ForwardingPolicy policy;
   private final String service;
+  private final String zone;
   private final List<TargetSlot> slots;
 
   private final Map<Integer, TargetSlot> slotsByAddress = new HashMap<>();
 
-  TargetPool(String service, List<TargetSlot> slots, ForwardingPolicy policy) {
+  /**
+   * Creates a pool.
+   *
+   * @param zone the zone of the balancer that chooses
+   */
+  TargetPool(String service, String zone, List<TargetSlot> slots, ForwardingPolicy policy) {
     this.policy = policy;
     this.service = service;
+    this.zone = zone;
     this.slots = List.copyOf(slots);
     for (TargetSlot slot : slots) {
       slotsByAddress.put(slot.address(), slot);
@@ -57,9 +73,10 @@
   }
 
   /**
-   * Chooses the target of a new flow: the less loaded of the flow's two highest ranked targets that
-   * may take one. Two choices balance nearly as well as all (Mitzenmacher, 2001), and as they
-   * depend on the flow alone, a node that has lost its memory finds the target among a few.
+   * Chooses the target of a new flow: the less loaded of the flow's two highest ranked targets of
+   * the balancer's zone if that one has room, or else the less loaded of the two highest ranked of
+   * all. Two choices balance nearly as well as all (Mitzenmacher, 2001), and as they depend on the
+   * flow and the zone alone, a node that has lost its memory finds the target among a few.
    *
    * @param tried targets that have refused the flow or left it unanswered
    * @return the target, or null if none may take the flow
@@ -74,9 +91,8 @@
   @Nullable
   private TargetSlot chooseAmong(
       FlowId flow, List<TargetSlot> tried, boolean suspectsToo, long nowMs) {
-    long flowHash = flow.hash();
-    TargetSlot first = null;
-    TargetSlot second = null;
+    HighestTwo ofZone = new HighestTwo(flow.hash());
+    HighestTwo ofAll = new HighestTwo(flow.hash());
     for (TargetSlot slot : slots) {
       if (slot.record().phase() != TargetPhase.READY || isAmong(tried, slot.address())) {
         continue;
@@ -84,6 +100,45 @@
       if (!suspectsToo && slot.isSuspect(nowMs) && policy.uses(Mechanism.SUSPICION)) {
         continue;
       }
+      ofAll.add(slot);
+      if (isOfZone(slot)) {
+        ofZone.add(slot);
+      }
+    }
+    TargetSlot near = lessLoaded(ofZone, nowMs);
+    boolean stays = near != null && hasRoom(near, nowMs) && policy.uses(Mechanism.OWN_ZONE_FIRST);
+    return stays ? near : lessLoaded(ofAll, nowMs);
+  }
+
+  private boolean isOfZone(TargetSlot slot) {
+    return slot.record().zone().equals(zone);
+  }
+
+  private boolean hasRoom(TargetSlot slot, long nowMs) {
+    return weightedLoad(slot, nowMs) <= FREE_LOAD && slot.averageUse() <= ROOMY_USE;
+  }
+
+  @Nullable
+  private TargetSlot lessLoaded(HighestTwo two, long nowMs) {
+    if (two.second == null || !policy.uses(Mechanism.TWO_CHOICES)) {
+      return two.first;
+    }
+    return weightedLoad(two.second, nowMs) < weightedLoad(two.first, nowMs)
+        ? two.second
+        : two.first;
+  }
+
+  /** The two highest ranked targets for a flow among those added. */
+  private static final class HighestTwo {
+    private final long flowHash;
+    @Nullable private TargetSlot first;
+    @Nullable private TargetSlot second;
+
+    private HighestTwo(long flowHash) {
+      this.flowHash = flowHash;
+    }
+
+    private void add(TargetSlot slot) {
       if (first == null || ranksHigher(slot, first, flowHash)) {
         second = first;
         first = slot;
@@ -91,10 +146,6 @@
         second = slot;
       }
     }
-    if (second == null || !policy.uses(Mechanism.TWO_CHOICES)) {
-      return first;
-    }
-    return weightedLoad(second, nowMs) < weightedLoad(first, nowMs) ? second : first;
   }
 
   private static boolean isAmong(List<TargetSlot> tried, int address) {
@@ -116,11 +167,21 @@
     return slow ? load * SLOW_START_FACTOR : load;
   }
 
-  /** Returns the targets in the order in which a flow of unknown place is looked for. */
-  List<TargetSlot> byRank(FlowId flow) {
+  /**
+   * Returns the targets in the order in which a flow of unknown place is looked for: the two that a
+   * new flow is given to in the balancer's zone, and then all by their rank.
+   */
+  List<TargetSlot> byLikelihood(FlowId flow) {
     long flowHash = flow.hash();
     List<TargetSlot> ranked = new ArrayList<>(slots);
     ranked.sort((a, b) -> Long.compareUnsigned(b.rank(flowHash), a.rank(flowHash)));
-    return ranked;
+    Set<TargetSlot> inOrder = new LinkedHashSet<>();
+    for (TargetSlot slot : ranked) {
+      if (isOfZone(slot) && inOrder.size() < CHOICES) {
+        inOrder.add(slot);
+      }
+    }
+    inOrder.addAll(ranked);
+    return List.copyOf(inOrder);
   }
 }
--- a/core/src/main/java/io/moorstage/core/transparent/TargetPools.java
+++ b/core/src/main/java/io/moorstage/core/transparent/TargetPools.java
@@ -12,21 +12,24 @@
  */
 final class TargetPools {
   private final ForwardingPolicy policy;
+  private final String zone;
   private final Map<String, TargetSlot> slotsById;
   private final Map<String, TargetPool> poolsByService;
 
   private TargetPools(
       ForwardingPolicy policy,
+      String zone,
       Map<String, TargetSlot> slotsById,
       Map<String, TargetPool> poolsByService) {
     this.policy = policy;
+    this.zone = zone;
     this.slotsById = slotsById;
     this.poolsByService = poolsByService;
   }
 
-  /** Returns pools without any target. */
-  static TargetPools empty(ForwardingPolicy policy) {
-    return new TargetPools(policy, new HashMap<>(), new HashMap<>());
+  /** Returns pools without any target, for a balancer of a zone. */
+  static TargetPools empty(ForwardingPolicy policy, String zone) {
+    return new TargetPools(policy, zone, new HashMap<>(), new HashMap<>());
   }
 
   /** Returns the pools of a newer state; targets that stay keep their slots. */
@@ -45,9 +48,9 @@
     }
     Map<String, TargetPool> pools = new HashMap<>();
     for (Map.Entry<String, List<TargetSlot>> entry : members.entrySet()) {
-      pools.put(entry.getKey(), new TargetPool(entry.getKey(), entry.getValue(), policy));
+      pools.put(entry.getKey(), new TargetPool(entry.getKey(), zone, entry.getValue(), policy));
     }
-    return new TargetPools(policy, slots, pools);
+    return new TargetPools(policy, zone, slots, pools);
   }
 
   @Nullable
--- a/core/src/main/java/io/moorstage/core/transparent/TargetSlot.java
+++ b/core/src/main/java/io/moorstage/core/transparent/TargetSlot.java
@@ -10,6 +10,9 @@
   private static final long NEVER = Long.MIN_VALUE / 2;
   private static final int MAX_SUSPICION_DOUBLINGS = 3;
 
+  /** Long against a request of some 50 ms, short against a change of the traffic. */
+  private static final double AVERAGING_MS = 2_000;
+
   private volatile TargetRecord record;
   private final long hash;
   private final AtomicInteger activeFlows = new AtomicInteger();
@@ -17,6 +20,7 @@
   private volatile int silences;
   private volatile long coldUntilMs;
   private volatile int reportedBusy;
+  private volatile double averageBusy;
   private final AtomicInteger placedSinceReport = new AtomicInteger();
   private volatile long reportedAtMs = NEVER;
   private volatile long heardAtMs = NEVER;
@@ -67,6 +71,8 @@
   }
 
   void reportBusy(int busyFlows, long nowMs) {
+    double weight = Math.min(1, (nowMs - reportedAtMs) / AVERAGING_MS);
+    averageBusy += weight * (busyFlows - averageBusy);
     reportedBusy = busyFlows;
     placedSinceReport.set(0);
     reportedAtMs = nowMs;
@@ -112,4 +118,9 @@
     int busy = reported ? reportedBusy + placedSinceReport.get() : activeFlows.get();
     return (busy + 1.0) / record.capacity();
   }
+
+  /** Returns the share of its slots that the target has had in use of late, by reports. */
+  double averageUse() {
+    return averageBusy / record.capacity();
+  }
 }
--- a/core/src/test/java/io/moorstage/core/transparent/FleetStateTest.java
+++ b/core/src/test/java/io/moorstage/core/transparent/FleetStateTest.java
@@ -63,7 +63,8 @@
   void addressBelongsToTheServiceOfTheTargetThatWasListedThereLast() {
     TargetRecord before = Fleet.listed("before", Fleet.SERVICE, 1, 3);
     TargetRecord now = Fleet.listed("now", "bundles", 1, 6);
-    TargetPools pools = TargetPools.empty(Fleet.POLICY).update(Fleet.state(7, before, now), 0);
+    TargetPools pools =
+        TargetPools.empty(Fleet.POLICY, Fleet.ZONE).update(Fleet.state(7, before, now), 0);
     assertThat(pools.ofService(Fleet.SERVICE)).isNull();
     assertThat(pools.ofService("bundles").at(1).record()).isEqualTo(now);
   }
--- a/core/src/test/java/io/moorstage/core/transparent/FlowBalancerTest.java
+++ b/core/src/test/java/io/moorstage/core/transparent/FlowBalancerTest.java
@@ -19,7 +19,7 @@
 
   @BeforeEach
   void start() {
-    balancer = new FlowBalancer(Fleet.POLICY, actions, DecisionLog.NONE, 0);
+    balancer = new FlowBalancer(Fleet.POLICY, Fleet.ZONE, actions, DecisionLog.NONE, 0);
   }
 
   private void takeState(FleetState state) {
--- a/core/src/test/java/io/moorstage/core/transparent/FlowLocatorTest.java
+++ b/core/src/test/java/io/moorstage/core/transparent/FlowLocatorTest.java
@@ -23,7 +23,7 @@
 
   @BeforeEach
   void start() {
-    balancer = new FlowBalancer(Fleet.POLICY, actions, DecisionLog.NONE, 0);
+    balancer = new FlowBalancer(Fleet.POLICY, Fleet.ZONE, actions, DecisionLog.NONE, 0);
     for (int i = 0; i < TARGETS; i++) {
       targets.add(Fleet.target(FIRST_ADDRESS + i, TargetPhase.READY, 1));
     }
@@ -37,7 +37,8 @@
       slots.add(new TargetSlot(target, 0));
     }
     List<Integer> addresses = new ArrayList<>();
-    for (TargetSlot slot : new TargetPool(Fleet.SERVICE, slots, Fleet.POLICY).byRank(FLOW)) {
+    TargetPool pool = new TargetPool(Fleet.SERVICE, Fleet.ZONE, slots, Fleet.POLICY);
+    for (TargetSlot slot : pool.byLikelihood(FLOW)) {
       addresses.add(slot.address());
     }
     return addresses;
--- /dev/null
+++ b/core/src/test/java/io/moorstage/core/transparent/TargetPoolTest.java
@@ -0,0 +1,100 @@
+package io.moorstage.core.transparent;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+class TargetPoolTest {
+  private static final String ZONE = "lac";
+  private static final String OTHER_ZONE = "ariana";
+  private static final int CAPACITY = 2;
+  private static final int FLOWS = 400;
+
+  private final List<TargetSlot> near = new ArrayList<>();
+  private final List<TargetSlot> far = new ArrayList<>();
+  private long nowMs = 10_000;
+
+  private static TargetSlot slot(int address, String zone) {
+    String id = "t" + address;
+    return new TargetSlot(
+        new TargetRecord(
+            id, Fleet.SERVICE, address, zone, CAPACITY, TargetPhase.READY, 0, address, address),
+        0);
+  }
+
+  private TargetPool pool(int nearTargets, int farTargets) {
+    for (int i = 0; i < nearTargets; i++) {
+      near.add(slot(100 + i, ZONE));
+    }
+    for (int i = 0; i < farTargets; i++) {
+      far.add(slot(200 + i, OTHER_ZONE));
+    }
+    List<TargetSlot> all = new ArrayList<>(near);
+    all.addAll(far);
+    return new TargetPool(Fleet.SERVICE, ZONE, all, Fleet.POLICY);
+  }
+
+  private void report(List<TargetSlot> slots, int busyFlows) {
+    for (TargetSlot slot : slots) {
+      slot.reportBusy(busyFlows, nowMs);
+    }
+  }
+
+  private Map<String, Integer> chosenByZone(TargetPool pool) {
+    Map<String, Integer> chosen = new HashMap<>();
+    for (int port = 1; port <= FLOWS; port++) {
+      TargetSlot slot = pool.choose(Fleet.flow(port), List.of(), nowMs);
+      chosen.merge(slot.record().zone(), 1, Integer::sum);
+    }
+    return chosen;
+  }
+
+  @Test
+  void newFlowsStayInTheirZoneWhileItsTargetsHaveRoom() {
+    TargetPool pool = pool(3, 9);
+    report(near, 0);
+    report(far, 0);
+    assertThat(chosenByZone(pool)).containsExactly(ZONE, FLOWS);
+  }
+
+  @Test
+  void newFlowsGoElsewhereWhenTheTargetsOfTheirZoneAreBusy() {
+    TargetPool pool = pool(3, 9);
+    report(near, CAPACITY);
+    report(far, 0);
+    assertThat(chosenByZone(pool).get(OTHER_ZONE)).isAtLeast(FLOWS * 9 / 10);
+  }
+
+  @Test
+  void newFlowsAreSpreadOverAllZonesWhenTheTargetsOfTheirOwnAreBusyMostOfTheTime() {
+    TargetPool pool = pool(3, 9);
+    for (int i = 0; i < 50; i++) {
+      report(near, i % 4 == 0 ? 0 : CAPACITY);
+      nowMs += 100;
+    }
+    report(near, 0);
+    report(far, 0);
+    assertThat(chosenByZone(pool).get(OTHER_ZONE)).isAtLeast(FLOWS / 2);
+  }
+
+  @Test
+  void zoneWithoutTargetsUsesThoseOfOthers() {
+    assertThat(chosenByZone(pool(0, 4))).containsExactly(OTHER_ZONE, FLOWS);
+  }
+
+  @Test
+  void targetOfANewFlowIsAmongTheFirstFourThatAreAskedForIt() {
+    TargetPool pool = pool(5, 20);
+    for (int port = 1; port <= FLOWS; port++) {
+      report(near, port % 3);
+      report(far, port % 2);
+      FlowId flow = Fleet.flow(port);
+      TargetSlot chosen = pool.choose(flow, List.of(), nowMs);
+      assertThat(pool.byLikelihood(flow).subList(0, FlowLocator.FIRST_ASKED)).contains(chosen);
+    }
+  }
+}
--- a/forwarding/src/main/java/io/moorstage/forwarding/BalancerDaemon.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/BalancerDaemon.java
@@ -74,7 +74,8 @@
     this.log = log;
     this.policy = settings.policy();
     this.metrics = new ForwardingMetrics(log);
-    this.balancer = new FlowBalancer(policy, new Actions(), metrics, MonotonicClock.nowMs());
+    this.balancer =
+        new FlowBalancer(policy, settings.zone(), new Actions(), metrics, MonotonicClock.nowMs());
     this.keeper = new StateKeeper(policy.goneMemoryMs(), this::onState);
     this.balancers = new PeerDirectory(settings.address(), settings.zone());
     this.peers = new AddressCache(settings.peerPort());
