Space the calls that wait for changes, and let reserves not read between two confirmations

Change: agents spread their first reading over 600 ms; after four calls at once, calls follow each other 300 ms apart under steady changes; a confirmation counts for as long as the next one may take (computed from the wait, the pause and the beacons). Test: reserveDoesNotReadWhileTheReaderIsAnsweredAsSeldomAsItMayBe fails with 2.4 s.

--- a/forwarding/src/main/java/io/moorstage/forwarding/BalancerDaemon.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/BalancerDaemon.java
@@ -22,7 +22,10 @@
 /** Takes clients' segments and forwards each to the agent beside the flow's target. */
 public final class BalancerDaemon implements ForwardingDaemon {
   private static final int TICK_MS = 20;
-  private static final int BEACON_MS = 500;
+
+  /** Time between regular beacons. */
+  static final int BEACON_MS = 500;
+
   private static final int SWEEP_MS = 1_000;
   private static final int ENDPOINTS_WITHIN_MS = 3_000;
 
--- a/forwarding/src/main/java/io/moorstage/forwarding/FirstStateReader.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/FirstStateReader.java
@@ -15,8 +15,12 @@
   /** Leaves time for the answer of a balancer that lives, which makes a reading needless. */
   private static final int FIRST_WAIT_MS = 60;
 
-  /** Spreads the readings of agents that start together; many see another's before their own. */
-  private static final int SPREAD_MS = 80;
+  /**
+   * Spreads the readings of agents that start together. The first of a dozen comes within some 50
+   * ms; balancers take half a second longer to start, and by what they tell the others need not
+   * read.
+   */
+  private static final int SPREAD_MS = 600;
 
   private static final int BACKOFF_MS = 200;
   private static final int MAX_BACKOFF_MS = 1_600;
--- a/forwarding/src/main/java/io/moorstage/forwarding/SourceFollower.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/SourceFollower.java
@@ -11,7 +11,9 @@
  * reads everything if none has, and again when the source has lost its history.
  */
 final class SourceFollower {
-  private static final int WAIT_MS = 2_000;
+  /** How long a call waits for a change: as long as a failure of the source may go unnoticed. */
+  static final int WAIT_MS = 2_000;
+
   private static final int FIRST_BACKOFF_MS = 60;
   private static final int MAX_BACKOFF_MS = 600;
 
@@ -38,6 +40,7 @@
   private final ProcessorLag processorLag;
   private final SourceReaders readers;
   private final ForwardingMetrics metrics;
+  private final CallPacer pacer = new CallPacer();
   private boolean complete;
   private boolean confirmed;
   private volatile boolean answering = true;
@@ -88,6 +91,7 @@
           Thread.sleep(RESERVE_POLL_MS);
           continue;
         }
+        Thread.sleep(pacer.takeDelayMs(MonotonicClock.nowMs()));
         try {
           step();
           succeeded();
--- a/forwarding/src/main/java/io/moorstage/forwarding/SourceReaders.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/SourceReaders.java
@@ -19,11 +19,15 @@
   /** A balancer that has been silent for longer may be gone; beacons come every 500 ms. */
   private static final int HEARD_WITHIN_MS = 1_300;
 
+  /** Answers of the source, beacons and the processor may be late by so much. */
+  private static final int SLACK_MS = 200;
+
   /**
    * A confirmation that is older shows that the source does not answer: each call of a reader
-   * returns within two seconds.
+   * returns within its wait, the next one follows after a pause, and a beacon tells of it.
    */
-  private static final int CONFIRMED_WITHIN_MS = 2_400;
+  static final int CONFIRMED_WITHIN_MS =
+      SourceFollower.WAIT_MS + CallPacer.INTERVAL_MS + BalancerDaemon.BEACON_MS + SLACK_MS;
 
   private final int ownAddress;
   private final String ownZone;
