End the storm of offers after a loss of all machines

Busy machines returned offers after the 30 ms in which one counts as kept; the flow then stood at a wrong target, and the next return asked all agents again. Clients learnt of the loss seconds late. Change: an agent says that a flow is unlikely at its target if that target has started beside it, which it has if the source still lists, as ready, the one before it; only the four likeliest of such targets are offered the segment. Others are offered it eight in a row. A search goes on where it was when an offer comes back late. Ruled out: to judge by the number of an entry's heartbeats, since a target that is released and whose agent is restarted within three of them would be misjudged.

--- a/core/src/main/java/io/moorstage/core/transparent/BalancerFlow.java
+++ b/core/src/main/java/io/moorstage/core/transparent/BalancerFlow.java
@@ -41,6 +41,9 @@
 
   @Nullable Location location;
 
+  /** The search that ended with a target which has not returned its offer so far. */
+  @Nullable Location endedLocation;
+
   BalancerFlow(FlowId id, String service, long nowMs) {
     this.id = id;
     this.service = service;
@@ -80,6 +83,9 @@
   static final class Location {
     final List<byte[]> held = new ArrayList<>(2);
 
+    /** Addresses of all targets that may hold the flow, the likeliest first. */
+    final List<Integer> byLikelihood = new ArrayList<>();
+
     /** Targets whose agents are to be asked yet, the likeliest first. */
     final Deque<TargetSlot> toAsk = new ArrayDeque<>();
 
@@ -96,6 +102,9 @@
     final long startedAtMs;
     boolean balancersAsked;
 
+    /** Offers made since the search last paused. */
+    int offers;
+
     /** How many agents the next round of questions goes to. */
     int nextAsked;
 
@@ -113,6 +122,12 @@
       }
     }
 
+    /** Returns how likely a target is to hold the flow: 0 for the likeliest one. */
+    int likelihoodRank(TargetSlot slot) {
+      int rank = byLikelihood.indexOf(slot.address());
+      return rank < 0 ? byLikelihood.size() : rank;
+    }
+
     /** Returns whether this has asked all and waits for no answer or offer. */
     boolean isWaitingForNothing() {
       return toAsk.isEmpty() && unanswered.isEmpty() && offeredTo == null;
--- a/core/src/main/java/io/moorstage/core/transparent/BalancerTables.java
+++ b/core/src/main/java/io/moorstage/core/transparent/BalancerTables.java
@@ -48,6 +48,11 @@
     return state.configuration();
   }
 
+  /** Returns the balancer's zone. */
+  String zone() {
+    return zone;
+  }
+
   long startedAtMs() {
     return startedAtMs;
   }
--- a/core/src/main/java/io/moorstage/core/transparent/FlowAgent.java
+++ b/core/src/main/java/io/moorstage/core/transparent/FlowAgent.java
@@ -29,6 +29,7 @@
   private TargetPhase phase = TargetPhase.READY;
   private long phaseRevision;
   private final RequestGate gate;
+  private final TargetStart targetStart = new TargetStart();
   private int waitingFlows;
 
   /**
@@ -67,6 +68,16 @@
     return changed;
   }
 
+  /**
+   * Takes which target the source lists beside this agent.
+   *
+   * @param id names this start of the target; 0 if none is listed
+   * @param tookOver whether the source still lists the target before it as ready
+   */
+  public synchronized void onTargetListed(long id, boolean tookOver) {
+    targetStart.told(id, tookOver);
+  }
+
   /** Takes the number of requests that the target works on at a time; 0 if it is not known. */
   public synchronized void onCapacity(int capacity) {
     gate.setCapacity(capacity);
@@ -323,6 +334,7 @@
     }
     if (flow == null) {
       // The agent was restarted; the target tells by its segments which flows it holds.
+      targetStart.heldUnknownFlow();
       flow = new AgentFlow(segment.flow(), AgentFlow.Stage.OPEN, 0, nowMs);
       flows.put(flow.id, flow);
     }
@@ -380,7 +392,10 @@
   public synchronized FlowKnowledge onAsked(FlowId id, long nowMs) {
     AgentFlow flow = flows.get(id);
     if (flow == null || flow.stage == AgentFlow.Stage.OFFERED) {
-      return knowsAllFlows(nowMs) ? FlowKnowledge.NOT_HELD : FlowKnowledge.UNKNOWN;
+      if (knowsAllFlows(nowMs)) {
+        return FlowKnowledge.NOT_HELD;
+      }
+      return targetStart.wasBesideAgent() ? FlowKnowledge.UNLIKELY : FlowKnowledge.UNKNOWN;
     }
     if (flow.stage == AgentFlow.Stage.LOST) {
       return FlowKnowledge.LOST;
--- a/core/src/main/java/io/moorstage/core/transparent/FlowKnowledge.java
+++ b/core/src/main/java/io/moorstage/core/transparent/FlowKnowledge.java
@@ -11,7 +11,12 @@
   /** The asked agent has not run for long enough to know. */
   UNKNOWN,
   /** The asked balancer knows which target holds the flow. */
-  KNOWN_ELSEWHERE;
+  KNOWN_ELSEWHERE,
+  /**
+   * The asked agent does not know the flow, and its target has most likely started no sooner than
+   * the agent.
+   */
+  UNLIKELY;
 
   private static final FlowKnowledge[] VALUES = values();
 
--- a/core/src/main/java/io/moorstage/core/transparent/FlowLocator.java
+++ b/core/src/main/java/io/moorstage/core/transparent/FlowLocator.java
@@ -24,6 +24,9 @@
   /** Each further round asks so many times as many agents: three rounds cover 84 targets. */
   private static final int WIDENING = 4;
 
+  /** Offers of one segment in a row: each may cost a target a segment that it has to return. */
+  static final int MAX_OFFERS = 8;
+
   /** The time from one round to the next: a few round trips between zones, of 2 ms each. */
   private static final int WIDEN_AFTER_MS = 20;
 
@@ -53,6 +56,10 @@
     if (!flow.denied.contains(agentAddress)) {
       flow.denied.add(agentAddress);
     }
+    if (flow.endedLocation != null) {
+      resumeLocation(flow, segment, datagram, nowMs);
+      return;
+    }
     Location location = flow.location;
     if (location != null) {
       if (location.offeredTo != null && location.offeredTo.address() == agentAddress) {
@@ -77,6 +84,26 @@
     startLocation(flow, segment, datagram, nowMs);
   }
 
+  // A busy machine has returned the offered segment late: the search goes on where it was.
+  private void resumeLocation(BalancerFlow flow, Segment segment, ByteBuffer datagram, long nowMs) {
+    Location location = flow.endedLocation;
+    flow.endedLocation = null;
+    if (flow.target != null && !flow.denied.contains(flow.target.address())) {
+      // Another target has returned a segment; the one that the flow is at may still hold it.
+      tables.send(flow, flow.target, datagram);
+      return;
+    }
+    flow.moveTo(null);
+    flow.confirmed = false;
+    flow.location = location;
+    locating.add(flow);
+    location.held.clear();
+    location.hold(datagram, policy.maxHeldSegments());
+    location.offeredTo = null;
+    log.decided(Decision.ASKED, flow.id, 0, "offer-returned-late", tables.ageOfState(nowMs));
+    offerNext(flow, nowMs);
+  }
+
   /** Returns a target that got an earlier copy of the opening segment and may have accepted it. */
   @Nullable
   private static TargetSlot takeUntriedAnswer(BalancerFlow flow) {
@@ -113,7 +140,11 @@
     String reason = excluded == null ? "unknown" : "not-held";
     int address = excluded == null ? 0 : excluded.address();
     log.decided(Decision.ASKED, flow.id, address, reason, tables.ageOfState(nowMs));
-    location.toAsk.addAll(holders.inOrder(flow, nowMs));
+    flow.endedLocation = null;
+    for (TargetSlot slot : holders.inOrder(flow, nowMs)) {
+      location.byLikelihood.add(slot.address());
+      location.toAsk.add(slot);
+    }
     askNext(flow, FIRST_ASKED, nowMs);
   }
 
@@ -209,6 +240,11 @@
       case UNKNOWN:
         answered(flow, peerAddress, true, nowMs);
         break;
+      case UNLIKELY:
+        // The likeliest few are offered the segment nevertheless.
+        int rank = location.byLikelihood.indexOf(peerAddress);
+        answered(flow, peerAddress, rank >= 0 && rank < FIRST_ASKED, nowMs);
+        break;
       case NOT_HELD:
         answered(flow, peerAddress, false, nowMs);
         break;
@@ -250,7 +286,13 @@
       notFound(flow, location, nowMs);
       return;
     }
-    TargetSlot candidate = highestRanked(flow, location.candidates);
+    if (location.offers >= MAX_OFFERS) {
+      location.offers = 0;
+      location.deadlineMs = nowMs + policy.searchPauseMs();
+      return;
+    }
+    TargetSlot candidate = likeliest(location);
+    location.offers++;
     location.candidates.remove(candidate);
     location.offeredTo = candidate;
     location.deadlineMs = nowMs + policy.offerTimeoutMs();
@@ -277,15 +319,14 @@
     tables.forget(flow);
   }
 
-  private static TargetSlot highestRanked(BalancerFlow flow, List<TargetSlot> candidates) {
-    long flowHash = flow.id.hash();
-    TargetSlot highest = candidates.get(0);
-    for (TargetSlot slot : candidates) {
-      if (Long.compareUnsigned(slot.rank(flowHash), highest.rank(flowHash)) > 0) {
-        highest = slot;
+  private static TargetSlot likeliest(Location location) {
+    TargetSlot likeliest = location.candidates.get(0);
+    for (TargetSlot slot : location.candidates) {
+      if (location.likelihoodRank(slot) < location.likelihoodRank(likeliest)) {
+        likeliest = slot;
       }
     }
-    return highest;
+    return likeliest;
   }
 
   private void endLocation(BalancerFlow flow) {
@@ -305,6 +346,7 @@
         TargetSlot holder = location.offeredTo;
         location.held.remove(0);
         found(flow, holder, "kept-offer", nowMs);
+        flow.endedLocation = location;
       } else if (!location.toAsk.isEmpty()) {
         askNext(flow, location.nextAsked, nowMs);
       } else if (!location.unanswered.isEmpty()) {
--- a/core/src/main/java/io/moorstage/core/transparent/PossibleHolders.java
+++ b/core/src/main/java/io/moorstage/core/transparent/PossibleHolders.java
@@ -1,6 +1,6 @@
 package io.moorstage.core.transparent;
 
-import java.util.LinkedHashMap;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -20,14 +20,14 @@
    * them: most flows are held by one of the first four.
    */
   List<TargetSlot> inOrder(BalancerFlow flow, long nowMs) {
-    Map<Integer, TargetSlot> holders = new LinkedHashMap<>();
+    Map<Integer, TargetSlot> holders = new HashMap<>();
     for (TargetPool pool : tables.poolsOf(flow)) {
-      for (TargetSlot slot : pool.byLikelihood(flow.id)) {
+      for (TargetSlot slot : pool.slots()) {
         addListed(holders, flow, slot, nowMs);
       }
     }
     addUnlisted(holders, flow, nowMs);
-    return List.copyOf(holders.values());
+    return TargetPool.byLikelihood(holders.values(), tables.zone(), flow.id);
   }
 
   private void addListed(
--- a/core/src/main/java/io/moorstage/core/transparent/TargetPool.java
+++ b/core/src/main/java/io/moorstage/core/transparent/TargetPool.java
@@ -1,6 +1,7 @@
 package io.moorstage.core.transparent;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -168,16 +169,17 @@
   }
 
   /**
-   * Returns the targets in the order in which a flow of unknown place is looked for: the two that a
-   * new flow is given to in the balancer's zone, and then all by their rank.
+   * Returns targets in the order in which a flow of unknown place is looked for: the two that a new
+   * flow is given to in the balancer's zone, and then all by their rank.
    */
-  List<TargetSlot> byLikelihood(FlowId flow) {
+  static List<TargetSlot> byLikelihood(
+      Collection<TargetSlot> targets, String balancerZone, FlowId flow) {
     long flowHash = flow.hash();
-    List<TargetSlot> ranked = new ArrayList<>(slots);
+    List<TargetSlot> ranked = new ArrayList<>(targets);
     ranked.sort((a, b) -> Long.compareUnsigned(b.rank(flowHash), a.rank(flowHash)));
     Set<TargetSlot> inOrder = new LinkedHashSet<>();
     for (TargetSlot slot : ranked) {
-      if (isOfZone(slot) && inOrder.size() < CHOICES) {
+      if (slot.record().zone().equals(balancerZone) && inOrder.size() < CHOICES) {
         inOrder.add(slot);
       }
     }
--- a/core/src/main/java/io/moorstage/core/transparent/TargetRecord.java
+++ b/core/src/main/java/io/moorstage/core/transparent/TargetRecord.java
@@ -25,6 +25,11 @@
     long createdRevision,
     long revision) {
 
+  /** Returns a number that names this start of the target, never 0. */
+  public long startNumber() {
+    return FlowId.mix(id.hashCode()) | 1;
+  }
+
   /** Returns this record as of a later revision at which the source no longer lists it. */
   public TargetRecord gone(long atRevision) {
     return new TargetRecord(
--- /dev/null
+++ b/core/src/main/java/io/moorstage/core/transparent/TargetStart.java
@@ -0,0 +1,43 @@
+package io.moorstage.core.transparent;
+
+/**
+ * What an agent knows of its target's start, and so of the flows that the target may hold without
+ * the agent's knowing. Guarded by the lock of {@link FlowAgent}.
+ *
+ * <p>All segments pass through the agent. A target that has started beside the running agent, or
+ * after the machine with its former agent was lost, holds no flow that the agent does not know. It
+ * has, as far as can be told, if the source lists it while it still lists, as ready, the one before
+ * it: that one died without leaving less than three heartbeats ago.
+ */
+final class TargetStart {
+  private long id;
+  private boolean besideAgent;
+
+  /**
+   * A balancer tells which target the source lists.
+   *
+   * @param newId names this start of the target; 0 if none is listed
+   * @param tookOver whether the source still lists the target before it as ready
+   */
+  void told(long newId, boolean tookOver) {
+    if (newId == 0) {
+      return;
+    }
+    boolean another = id != 0 && id != newId;
+    if (another || id == 0) {
+      besideAgent = another;
+      id = newId;
+    }
+    besideAgent |= tookOver;
+  }
+
+  /** The target has sent a segment of a flow that the agent does not know. */
+  void heldUnknownFlow() {
+    besideAgent = false;
+  }
+
+  /** Returns whether the target has most likely started no sooner than the agent. */
+  boolean wasBesideAgent() {
+    return besideAgent;
+  }
+}
--- a/core/src/test/java/io/moorstage/core/transparent/FlowLocatorTest.java
+++ b/core/src/test/java/io/moorstage/core/transparent/FlowLocatorTest.java
@@ -20,6 +20,7 @@
   private FlowBalancer balancer;
   private long nowMs = 100_000;
   private int answeredQuestions;
+  private int returnedOffers;
 
   @BeforeEach
   void start() {
@@ -37,8 +38,7 @@
       slots.add(new TargetSlot(target, 0));
     }
     List<Integer> addresses = new ArrayList<>();
-    TargetPool pool = new TargetPool(Fleet.SERVICE, Fleet.ZONE, slots, Fleet.POLICY);
-    for (TargetSlot slot : pool.byLikelihood(FLOW)) {
+    for (TargetSlot slot : TargetPool.byLikelihood(slots, Fleet.ZONE, FLOW)) {
       addresses.add(slot.address());
     }
     return addresses;
@@ -57,6 +57,27 @@
     }
   }
 
+  /** Answers each question once, in the same way. */
+  private void answerAllBy(FlowKnowledge knowledge) {
+    while (answeredQuestions < actions.asked.size()) {
+      int agent = actions.asked.get(answeredQuestions);
+      answeredQuestions++;
+      balancer.onKnowledge(agent, FLOW, knowledge, agent, nowMs);
+    }
+  }
+
+  /** Each target but one returns what it is offered. */
+  private void returnOffers(int holder) {
+    Segment data = Fleet.data(FLOW, 101, 10);
+    while (returnedOffers < actions.forwardedTo.size()) {
+      int target = actions.forwardedTo.get(returnedOffers);
+      returnedOffers++;
+      if (target != holder) {
+        balancer.onGivenBack(target, ReturnReason.NOT_HELD, 1, data, Fleet.bytes(data), nowMs);
+      }
+    }
+  }
+
   /** Answers each question once; what the silent agent is asked is lost. */
   private void answerAll(int holder, int silentAddress) {
     while (answeredQuestions < actions.asked.size()) {
@@ -138,4 +159,59 @@
     assertThat(actions.forwardedTo).containsExactly(holder);
     assertThat(actions.reset).isEmpty();
   }
+
+  // After a loss of all machines each lost flow cost 60 offers, and hundreds of flows were lost.
+  @Test
+  void lostFlowIsOfferedToFewTargetsWhereAllHaveStartedAnew() {
+    hearAllBut(0);
+    clientGoesOn();
+    answerAllBy(FlowKnowledge.UNLIKELY);
+    returnOffers(0);
+    assertThat(actions.forwardedTo.size()).isAtMost(FlowLocator.FIRST_ASKED);
+    assertThat(actions.reset).containsExactly(FLOW);
+  }
+
+  @Test
+  void likelyTargetKeepsItsFlowThoughItsAgentTakesItForNew() {
+    int holder = addressesByRank().get(FlowLocator.FIRST_ASKED - 1);
+    hearAllBut(0);
+    clientGoesOn();
+    answerAllBy(FlowKnowledge.UNLIKELY);
+    returnOffers(holder);
+    nowMs += Fleet.POLICY.offerTimeoutMs();
+    balancer.onTick(nowMs);
+    assertThat(actions.last()).isEqualTo(holder);
+    assertThat(actions.reset).isEmpty();
+  }
+
+  @Test
+  void offersPauseAfterAFewAndGoOnUntilAllTargetsHaveReturnedTheSegment() {
+    hearAllBut(0);
+    clientGoesOn();
+    answerAllBy(FlowKnowledge.UNKNOWN);
+    returnOffers(0);
+    assertThat(actions.forwardedTo).hasSize(FlowLocator.MAX_OFFERS);
+    for (int i = 0; i < TARGETS; i++) {
+      nowMs += Fleet.POLICY.searchPauseMs();
+      balancer.onTick(nowMs);
+      returnOffers(0);
+    }
+    assertThat(new HashSet<>(actions.forwardedTo)).hasSize(TARGETS);
+    assertThat(actions.reset).containsExactly(FLOW);
+  }
+
+  // An overloaded machine returned offers too late; each time all agents were asked again.
+  @Test
+  void searchGoesOnWhereItWasWhenAnOfferIsReturnedLate() {
+    hearAllBut(0);
+    clientGoesOn();
+    answerAllBy(FlowKnowledge.UNKNOWN);
+    nowMs += Fleet.POLICY.offerTimeoutMs();
+    balancer.onTick(nowMs);
+    int questions = actions.asked.size();
+    returnOffers(0);
+    assertThat(actions.asked).hasSize(questions);
+    assertThat(new HashSet<>(actions.forwardedTo).size()).isAtLeast(2);
+    assertThat(actions.reset).isEmpty();
+  }
 }
--- a/core/src/test/java/io/moorstage/core/transparent/TargetPoolTest.java
+++ b/core/src/test/java/io/moorstage/core/transparent/TargetPoolTest.java
@@ -94,7 +94,9 @@
       report(far, port % 2);
       FlowId flow = Fleet.flow(port);
       TargetSlot chosen = pool.choose(flow, List.of(), nowMs);
-      assertThat(pool.byLikelihood(flow).subList(0, FlowLocator.FIRST_ASKED)).contains(chosen);
+      assertThat(
+              TargetPool.byLikelihood(pool.slots(), ZONE, flow).subList(0, FlowLocator.FIRST_ASKED))
+          .contains(chosen);
     }
   }
 }
--- a/forwarding/src/main/java/io/moorstage/forwarding/AgentDaemon.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/AgentDaemon.java
@@ -300,6 +300,7 @@
           "told-by",
           Endpoint.of(balancer, 0).host());
     }
+    agent.onTargetListed(beacon.targetStart(), beacon.tookOver());
     if (beacon.capacity() > 0) {
       agent.onCapacity(beacon.capacity());
     }
--- a/forwarding/src/main/java/io/moorstage/forwarding/BalancerBeacons.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/BalancerBeacons.java
@@ -167,6 +167,8 @@
             zone,
             phase,
             capacity,
+            target == null ? 0 : target.startNumber(),
+            agents.tookOver(address),
             agents.keepsCopy(address),
             reportIntervalMs,
             confirmedAgeMs.applyAsInt(nowMs),
--- a/forwarding/src/main/java/io/moorstage/forwarding/ListedAgents.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/ListedAgents.java
@@ -30,10 +30,21 @@
   private final FleetState state;
   private final Map<Integer, TargetRecord> targetsByAddress;
   private final Set<Integer> copyKeepers = new HashSet<>();
+  private final Set<Integer> takenOver = new HashSet<>();
 
   private ListedAgents(FleetState state) {
     this.state = state;
     this.targetsByAddress = state.targetsByAddress();
+    for (TargetRecord target : state.targets()) {
+      TargetRecord newest = targetsByAddress.get(target.address());
+      if (target.phase() == TargetPhase.READY && newest.supersedes(target)) {
+        takenOver.add(target.address());
+      }
+    }
+    chooseCopyKeepers();
+  }
+
+  private void chooseCopyKeepers() {
     Map<String, TreeMap<Long, Integer>> rankedByZone = new HashMap<>();
     for (TargetRecord target : targetsByAddress.values()) {
       if (target.phase() != TargetPhase.GONE) {
@@ -68,6 +79,14 @@
     return targetsByAddress.get(address);
   }
 
+  /**
+   * Returns whether the source still lists as ready the target that the one at an address has
+   * followed: that one died without leaving.
+   */
+  boolean tookOver(int address) {
+    return takenOver.contains(address);
+  }
+
   /** Returns whether the agent at an address keeps a copy of the state. */
   boolean keepsCopy(int address) {
     return copyKeepers.contains(address);
--- a/forwarding/src/main/java/io/moorstage/forwarding/PeerMessage.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/PeerMessage.java
@@ -62,6 +62,8 @@
    * @param zone the balancer's zone
    * @param phase how far the receiving agent's target is in its life, or null if not known
    * @param capacity the requests that this target works on at a time, 0 if not known
+   * @param targetStart names the start of the receiving agent's target, 0 if none is listed
+   * @param tookOver whether the source still lists, as ready, the target before that one
    * @param keepsCopy whether the receiving agent keeps a copy of the state
    * @param reportIntervalMs how often at most the balancer wants to hear of the agent's load
    * @param confirmedAgeMs how long ago the source confirmed the state; negative if the balancer
@@ -73,6 +75,8 @@
       String zone,
       @Nullable TargetPhase phase,
       int capacity,
+      long targetStart,
+      boolean tookOver,
       boolean keepsCopy,
       int reportIntervalMs,
       int confirmedAgeMs,
--- a/forwarding/src/main/java/io/moorstage/forwarding/PeerMessageCodec.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/PeerMessageCodec.java
@@ -66,7 +66,8 @@
       putText(beacon.zone(), out);
       TargetPhase phase = beacon.phase();
       out.put((byte) (phase == null ? NO_PHASE : phase.ordinal()));
-      out.putInt(beacon.capacity()).put((byte) (beacon.keepsCopy() ? 1 : 0));
+      out.putInt(beacon.capacity()).putLong(beacon.targetStart());
+      out.put((byte) (beacon.tookOver() ? 1 : 0)).put((byte) (beacon.keepsCopy() ? 1 : 0));
       out.putInt(beacon.reportIntervalMs()).putInt(beacon.confirmedAgeMs());
       putAddresses(beacon.balancers(), out);
     } else if (message instanceof PeerMessage.AgentBeacon beacon) {
@@ -180,6 +181,8 @@
         zone,
         phase,
         in.getInt(),
+        in.getLong(),
+        in.get() != 0,
         in.get() != 0,
         in.getInt(),
         in.getInt(),
--- a/forwarding/src/test/java/io/moorstage/forwarding/ListedAgentsTest.java
+++ b/forwarding/src/test/java/io/moorstage/forwarding/ListedAgentsTest.java
@@ -46,4 +46,26 @@
   void agentsBesideTargetsThatHaveGoneKeepNone() {
     assertThat(keepers(ListedAgents.NONE.of(state(3, TargetPhase.GONE)), 100)).isEqualTo(0);
   }
+
+  private static TargetRecord start(String id, TargetPhase phase, long listedRevision) {
+    return new TargetRecord(id, "s", 100, "lac", 2, phase, 0, listedRevision, listedRevision);
+  }
+
+  private static ListedAgents agents(TargetRecord... targets) {
+    return ListedAgents.NONE.of(FleetState.of(9, ForwardingConfiguration.NONE, List.of(targets)));
+  }
+
+  @Test
+  void targetHasTakenOverIfTheOneBeforeItIsStillListedAsReady() {
+    TargetRecord now = start("now", TargetPhase.READY, 7);
+    assertThat(agents(start("before", TargetPhase.READY, 3), now).tookOver(100)).isTrue();
+  }
+
+  @Test
+  void targetThatFollowsOneThatHasLeftHasNotTakenOver() {
+    TargetRecord now = start("now", TargetPhase.READY, 7);
+    assertThat(agents(start("before", TargetPhase.GONE, 3), now).tookOver(100)).isFalse();
+    assertThat(agents(start("before", TargetPhase.DRAINING, 3), now).tookOver(100)).isFalse();
+    assertThat(agents(now).tookOver(100)).isFalse();
+  }
 }
--- a/forwarding/src/test/java/io/moorstage/forwarding/PeerMessageCodecTest.java
+++ b/forwarding/src/test/java/io/moorstage/forwarding/PeerMessageCodecTest.java
@@ -83,9 +83,20 @@
         (PeerMessage.BalancerBeacon)
             throughTheWire(
                 new PeerMessage.BalancerBeacon(
-                    8, "lac", TargetPhase.DRAINING, 5, true, 140, 120, new int[] {1, 2}));
+                    8,
+                    "lac",
+                    TargetPhase.DRAINING,
+                    5,
+                    77,
+                    true,
+                    false,
+                    140,
+                    120,
+                    new int[] {1, 2}));
     assertThat(read.phase()).isEqualTo(TargetPhase.DRAINING);
-    assertThat(read.keepsCopy()).isTrue();
+    assertThat(read.targetStart()).isEqualTo(77);
+    assertThat(read.tookOver()).isTrue();
+    assertThat(read.keepsCopy()).isFalse();
     assertThat(read.reportIntervalMs()).isEqualTo(140);
     assertThat(read.confirmedAgeMs()).isEqualTo(120);
     assertThat(read.balancers()).asList().containsExactly(1, 2).inOrder();
