Do not offer a flow blindly to many targets, and do not take an agent for silent that owes no answer

Change: only questions count; a silent agent is still asked, not waited for. At most two offers of a flow while an agent that may know it is absent; the search remembers who returned a segment; a late answer moves the flow to its holder. A quarter of the offers in a row, so that all are made within 0.6 s. Tests: flowIsOfferedToTwoTargetsAtMostWhileAnAgentThatMayKnowItIsAway, targetThatHasReturnedASegmentIsNotOfferedItsRepetition, holderThatAnswersLateGetsItsFlowBack and targetThatHasGoneIsStillAskedThoughItsAgentIsNotHeard fail before.

--- a/core/src/main/java/io/moorstage/core/transparent/AgentDirectory.java
+++ b/core/src/main/java/io/moorstage/core/transparent/AgentDirectory.java
@@ -10,7 +10,8 @@
  * FlowBalancer}.
  *
  * <p>An agent that has not been heard from is not silent for that: agents send beacons to few
- * balancers. It is silent if it leaves a question unanswered for long.
+ * balancers, and do not answer each beacon. It is silent if it leaves questions unanswered for
+ * long, or has said that it stops and has not come back.
  */
 final class AgentDirectory {
   /** The capacity that a target is taken to have as long as the source does not list it. */
@@ -39,6 +40,10 @@
     boolean appeared = !isHeard(agentAddress, nowMs);
     heardAgents.put(agentAddress, new HeardAgent(service, slot, stopping ? NEVER : nowMs));
     unansweredSinceMs.remove(agentAddress);
+    if (stopping) {
+      // It counts as away unless it comes back soon, as after a restart.
+      asked(agentAddress, nowMs);
+    }
     return appeared && !stopping;
   }
 
@@ -51,7 +56,7 @@
         nowMs);
   }
 
-  /** An agent has been sent something that it answers, be it a question or a beacon. */
+  /** An agent has been asked for a flow, which it answers whatever it knows. */
   void asked(int agentAddress, long nowMs) {
     unansweredSinceMs.putIfAbsent(agentAddress, nowMs);
   }
--- a/core/src/main/java/io/moorstage/core/transparent/BalancerFlow.java
+++ b/core/src/main/java/io/moorstage/core/transparent/BalancerFlow.java
@@ -41,6 +41,12 @@
 
   @Nullable Location location;
 
+  /** Whether the last search found neither the flow nor that nobody holds it. */
+  boolean unfound;
+
+  /** Offers made while not all agents that may know the flow had answered. */
+  int blindOffers;
+
   /** The search that ended with a target which has not returned its offer so far. */
   @Nullable Location endedLocation;
 
@@ -102,9 +108,11 @@
     final long startedAtMs;
     boolean balancersAsked;
 
-    /** Offers made since the search last paused. */
+    /** Offers made since the search last paused, and how many may be made before it pauses. */
     int offers;
 
+    int maxOffers;
+
     /** How many agents the next round of questions goes to. */
     int nextAsked;
 
--- a/core/src/main/java/io/moorstage/core/transparent/FlowBalancer.java
+++ b/core/src/main/java/io/moorstage/core/transparent/FlowBalancer.java
@@ -2,7 +2,6 @@
 
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.List;
 
 /**
@@ -92,13 +91,6 @@
     return appeared;
   }
 
-  /** Beacons were sent to agents, which an agent that is there answers by one of its own. */
-  public synchronized void onBeaconsSent(Collection<Integer> agentAddresses, long nowMs) {
-    for (int address : agentAddresses) {
-      tables.agents().asked(address, nowMs);
-    }
-  }
-
   private void report(TargetSlot slot, int busyFlows, boolean stopping, long nowMs) {
     slot.reportBusy(busyFlows, nowMs);
     slot.hear(nowMs);
--- a/core/src/main/java/io/moorstage/core/transparent/FlowLocator.java
+++ b/core/src/main/java/io/moorstage/core/transparent/FlowLocator.java
@@ -24,9 +24,17 @@
   /** Each further round asks so many times as many agents: three rounds cover 84 targets. */
   private static final int WIDENING = 4;
 
-  /** Offers of one segment in a row: each may cost a target a segment that it has to return. */
+  /** Offers in a row, or a quarter of all if that is more, so that all are made within 0.6 s. */
   static final int MAX_OFFERS = 8;
 
+  private static final int ROUNDS_OF_OFFERS = 4;
+
+  /**
+   * Offers of a flow while an agent that may know it has not answered: the flow may be there, and
+   * then a third segment at a wrong target would be one too many.
+   */
+  static final int MAX_BLIND_OFFERS = 2;
+
   /** The time from one round to the next: a few round trips between zones, of 2 ms each. */
   private static final int WIDEN_AFTER_MS = 20;
 
@@ -141,6 +149,7 @@
     int address = excluded == null ? 0 : excluded.address();
     log.decided(Decision.ASKED, flow.id, address, reason, tables.ageOfState(nowMs));
     flow.endedLocation = null;
+    flow.unfound = false;
     for (TargetSlot slot : holders.inOrder(flow, nowMs)) {
       location.byLikelihood.add(slot.address());
       location.toAsk.add(slot);
@@ -155,8 +164,9 @@
     while (asked < count && !location.toAsk.isEmpty()) {
       TargetSlot slot = location.toAsk.poll();
       if (tables.agents().isSilent(slot.address(), nowMs)) {
-        // It is asked as soon as it is heard from.
+        // It is asked, since it may be back, but not waited for.
         location.absent.add(slot);
+        actions.ask(slot.address(), flow.id);
       } else {
         askAgent(flow, slot, nowMs);
         asked++;
@@ -217,6 +227,9 @@
     tables.agents().answered(peerAddress);
     BalancerFlow flow = tables.flow(id);
     if (flow == null || flow.location == null) {
+      if (flow != null && flow.endedLocation != null && knowledge == FlowKnowledge.HELD) {
+        moveToHolder(flow, targetAddress, nowMs);
+      }
       return;
     }
     Location location = flow.location;
@@ -251,6 +264,18 @@
     }
   }
 
+  // The answer has come only after the segment was offered to another target.
+  private void moveToHolder(BalancerFlow flow, int targetAddress, long nowMs) {
+    TargetSlot holder = tables.slotAt(flow, targetAddress);
+    if (holder == null || flow.denied.contains(targetAddress)) {
+      return;
+    }
+    flow.endedLocation = null;
+    flow.confirmed = true;
+    flow.moveTo(holder);
+    log.decided(Decision.LOCATED, flow.id, targetAddress, "told-late", nowMs - flow.lastUsedMs);
+  }
+
   private void answered(BalancerFlow flow, int agentAddress, boolean mayHold, long nowMs) {
     Location location = flow.location;
     TargetSlot slot = removeAt(location.unanswered, agentAddress);
@@ -282,17 +307,22 @@
 
   private void offerNext(BalancerFlow flow, long nowMs) {
     Location location = flow.location;
-    if (location.candidates.isEmpty()) {
+    boolean blind = !location.absent.isEmpty();
+    if (location.candidates.isEmpty() || blind && flow.blindOffers >= MAX_BLIND_OFFERS) {
       notFound(flow, location, nowMs);
       return;
     }
-    if (location.offers >= MAX_OFFERS) {
+    if (location.offers == 0) {
+      location.maxOffers = Math.max(MAX_OFFERS, location.candidates.size() / ROUNDS_OF_OFFERS);
+    }
+    if (location.offers >= location.maxOffers) {
       location.offers = 0;
       location.deadlineMs = nowMs + policy.searchPauseMs();
       return;
     }
     TargetSlot candidate = likeliest(location);
     location.offers++;
+    flow.blindOffers += blind ? 1 : 0;
     location.candidates.remove(candidate);
     location.offeredTo = candidate;
     location.deadlineMs = nowMs + policy.offerTimeoutMs();
@@ -305,7 +335,8 @@
   // holds for all, no target holds the flow, and a reset lets the client try again at once.
   private void notFound(BalancerFlow flow, Location location, long nowMs) {
     boolean learned = nowMs - tables.startedAtMs() > policy.learnMs();
-    if (location.absent.isEmpty() && learned) {
+    boolean heldByNone = location.absent.isEmpty() && location.candidates.isEmpty();
+    if (heldByNone && learned) {
       log.decided(Decision.RESET_LOST, flow.id, 0, "held-by-none", tables.ageOfState(nowMs));
       actions.reset(flow.id, location.acknowledged);
     } else if (nowMs - location.startedAtMs < policy.searchMs()) {
@@ -314,6 +345,10 @@
       return;
     } else {
       log.decided(Decision.NOT_FOUND, flow.id, 0, "nobody-knows", tables.ageOfState(nowMs));
+      // What has returned a segment is not offered another one when the client repeats it.
+      endLocation(flow);
+      flow.unfound = true;
+      return;
     }
     endLocation(flow);
     tables.forget(flow);
--- a/core/src/main/java/io/moorstage/core/transparent/FlowOpener.java
+++ b/core/src/main/java/io/moorstage/core/transparent/FlowOpener.java
@@ -66,7 +66,7 @@
       return;
     }
     BalancerFlow flow = tables.flow(segment.flow());
-    if (flow == null) {
+    if (flow == null || flow.unfound) {
       String service = route.serviceOf(segment.flow());
       if (service == null) {
         resetOpening(segment, "no-weight", nowMs);
--- a/core/src/test/java/io/moorstage/core/transparent/FlowLocatorTest.java
+++ b/core/src/test/java/io/moorstage/core/transparent/FlowLocatorTest.java
@@ -190,7 +190,7 @@
     clientGoesOn();
     answerAllBy(FlowKnowledge.UNKNOWN);
     returnOffers(0);
-    assertThat(actions.forwardedTo).hasSize(FlowLocator.MAX_OFFERS);
+    assertThat(actions.forwardedTo).hasSize(TARGETS / 4);
     for (int i = 0; i < TARGETS; i++) {
       nowMs += Fleet.POLICY.searchPauseMs();
       balancer.onTick(nowMs);
@@ -214,4 +214,79 @@
     assertThat(new HashSet<>(actions.forwardedTo).size()).isAtLeast(2);
     assertThat(actions.reset).isEmpty();
   }
+
+  // Three segments at wrong targets while the right one gets none would break the flow.
+  @Test
+  void flowIsOfferedToTwoTargetsAtMostWhileAnAgentThatMayKnowItIsAway() {
+    int absent = addressesByRank().get(LOW_RANK);
+    for (int repetition = 0; repetition < 3; repetition++) {
+      hearAllBut(absent);
+      clientGoesOn();
+      for (int i = 0; i < 50; i++) {
+        nowMs += 20;
+        balancer.onTick(nowMs);
+        while (answeredQuestions < actions.asked.size()) {
+          int agent = actions.asked.get(answeredQuestions);
+          answeredQuestions++;
+          if (agent != absent) {
+            balancer.onKnowledge(agent, FLOW, FlowKnowledge.UNKNOWN, agent, nowMs);
+          }
+        }
+        returnOffers(0);
+      }
+    }
+    assertThat(actions.forwardedTo.size()).isAtMost(FlowLocator.MAX_BLIND_OFFERS);
+    assertThat(actions.reset).isEmpty();
+  }
+
+  @Test
+  void targetThatHasReturnedASegmentIsNotOfferedItsRepetition() {
+    int absent = addressesByRank().get(LOW_RANK);
+    hearAllBut(absent);
+    for (int repetition = 0; repetition < 3; repetition++) {
+      clientGoesOn();
+      answerAll(0, absent);
+      answerAllBy(FlowKnowledge.UNKNOWN);
+      returnOffers(0);
+      nowMs += 2 * Fleet.POLICY.searchMs();
+      balancer.onTick(nowMs);
+    }
+    assertThat(actions.forwardedTo).containsNoDuplicates();
+  }
+
+  @Test
+  void holderThatAnswersLateGetsItsFlowBack() {
+    int holder = addressesByRank().get(LOW_RANK);
+    hearAllBut(0);
+    clientGoesOn();
+    while (answeredQuestions < actions.asked.size()) {
+      int agent = actions.asked.get(answeredQuestions);
+      answeredQuestions++;
+      if (agent != holder) {
+        balancer.onKnowledge(agent, FLOW, FlowKnowledge.UNKNOWN, agent, nowMs);
+      }
+    }
+    for (int i = 0; i < 3; i++) {
+      nowMs += Fleet.POLICY.locateTimeoutMs();
+      balancer.onTick(nowMs);
+    }
+    assertThat(actions.last()).isNotEqualTo(holder);
+    balancer.onKnowledge(holder, FLOW, FlowKnowledge.HELD, holder, nowMs);
+    clientGoesOn();
+    assertThat(actions.last()).isEqualTo(holder);
+  }
+
+  @Test
+  void targetThatHasGoneIsStillAskedThoughItsAgentIsNotHeard() {
+    int gone = addressesByRank().get(LOW_RANK);
+    List<TargetRecord> listed = new ArrayList<>();
+    for (TargetRecord target : targets) {
+      listed.add(target.address() == gone ? target.gone(6) : target);
+    }
+    balancer.onState(Fleet.state(6, listed.toArray(new TargetRecord[0])), nowMs);
+    hearAllBut(gone);
+    clientGoesOn();
+    answerAll(gone, 0);
+    assertThat(actions.forwardedTo).containsExactly(gone);
+  }
 }
--- a/forwarding/src/main/java/io/moorstage/forwarding/BalancerBeacons.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/BalancerBeacons.java
@@ -5,7 +5,6 @@
 import io.moorstage.core.transparent.TargetRecord;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.List;
 import java.util.function.LongToIntFunction;
 import javax.annotation.Nullable;
@@ -76,16 +75,11 @@
     port = peerPort;
   }
 
-  /**
-   * Sends a beacon to agents and balancers, most of them of the own zone.
-   *
-   * @return the addresses of the agents
-   */
-  synchronized Collection<Integer> sendRegular(FleetState state, long nowMs) {
+  /** Sends a beacon to agents and balancers, most of them of the own zone. */
+  synchronized void sendRegular(FleetState state, long nowMs) {
     agents = agents.of(state);
     int reportIntervalMs = reportIntervalMs(nowMs);
-    List<Integer> chosen = agentsInTurn();
-    for (int agent : chosen) {
+    for (int agent : agentsInTurn()) {
       send(agent, state, reportIntervalMs, nowMs);
     }
     for (int peer : balancers.close(nowMs)) {
@@ -96,7 +90,6 @@
     for (int peer : balancers.others(OTHERS, nowMs)) {
       send(peer, state, reportIntervalMs, nowMs);
     }
-    return chosen;
   }
 
   private List<Integer> agentsInTurn() {
--- a/forwarding/src/main/java/io/moorstage/forwarding/BalancerDaemon.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/BalancerDaemon.java
@@ -191,7 +191,7 @@
       balancer.onTick(nowMs);
       if (nowMs >= nextBeaconMs) {
         nextBeaconMs = nowMs + BEACON_MS;
-        balancer.onBeaconsSent(beacons.sendRegular(keeper.state(), nowMs), nowMs);
+        beacons.sendRegular(keeper.state(), nowMs);
       }
       if (nowMs >= nextSweepMs) {
         nextSweepMs = nowMs + SWEEP_MS;
