--- a/lab/src/main/java/io/moorstage/lab/bench/TransparentFlows.java
+++ b/lab/src/main/java/io/moorstage/lab/bench/TransparentFlows.java
@@ -53,7 +53,8 @@
   /** Returns a balancer that holds open flows. */
   static FlowBalancer balancer(int flows) {
     FlowBalancer balancer =
-        new FlowBalancer(ForwardingPolicy.STANDARD, "z", new NoBalancerActions(), DecisionLog.NONE, 0);
+        new FlowBalancer(
+            ForwardingPolicy.STANDARD, "z", new NoBalancerActions(), DecisionLog.NONE, 0);
     balancer.onState(state(), 0);
     ByteBuffer datagram = datagram();
     for (int number = 0; number < flows; number++) {
