Take a target for new only by what the source says of the one before it

Cause: read in the code. That another target was listed before counted as evidence too; an agent that has restarted and hears first a balancer that is behind would have taken a target for new that has run for longer than itself. Word of an older revision is not taken any more either.

--- a/core/src/main/java/io/moorstage/core/transparent/FlowAgent.java
+++ b/core/src/main/java/io/moorstage/core/transparent/FlowAgent.java
@@ -73,9 +73,12 @@
    *
    * @param id names this start of the target; 0 if none is listed
    * @param tookOver whether the source still lists the target before it as ready
+   * @param revision the source's revision at which the balancer knew it
    */
-  public synchronized void onTargetListed(long id, boolean tookOver) {
-    targetStart.told(id, tookOver);
+  public synchronized void onTargetListed(long id, boolean tookOver, long revision) {
+    if (revision >= phaseRevision) {
+      targetStart.told(id, tookOver);
+    }
   }
 
   /** Takes the number of requests that the target works on at a time; 0 if it is not known. */
--- a/core/src/main/java/io/moorstage/core/transparent/TargetStart.java
+++ b/core/src/main/java/io/moorstage/core/transparent/TargetStart.java
@@ -7,7 +7,9 @@
  * <p>All segments pass through the agent. A target that has started beside the running agent, or
  * after the machine with its former agent was lost, holds no flow that the agent does not know. It
  * has, as far as can be told, if the source lists it while it still lists, as ready, the one before
- * it: that one died without leaving less than three heartbeats ago.
+ * it: that one died, without leaving, less than three heartbeats ago. An agent that was restarted
+ * within that time after its target is mistaken; so balancers offer a segment to likely targets all
+ * the same.
  */
 final class TargetStart {
   private long id;
@@ -23,10 +25,10 @@
     if (newId == 0) {
       return;
     }
-    boolean another = id != 0 && id != newId;
-    if (another || id == 0) {
-      besideAgent = another;
+    if (id != newId) {
+      // That another one was listed before tells nothing: that may have been an old state.
       id = newId;
+      besideAgent = false;
     }
     besideAgent |= tookOver;
   }
--- a/core/src/test/java/io/moorstage/core/transparent/FlowAgentTest.java
+++ b/core/src/test/java/io/moorstage/core/transparent/FlowAgentTest.java
@@ -296,4 +296,19 @@
     agent.onTick(nowMs);
     assertThat(agent.busyFlows()).isEqualTo(0);
   }
+
+  @Test
+  void unknownFlowIsUnlikelyAtATargetThatTookOverWhileTheAgentRuns() {
+    agent.onTargetListed(5, true, 9);
+    assertThat(agent.onAsked(Fleet.flow(1), nowMs)).isEqualTo(FlowKnowledge.UNLIKELY);
+    openFlow(2);
+    assertThat(agent.onAsked(Fleet.flow(2), nowMs)).isEqualTo(FlowKnowledge.HELD);
+  }
+
+  @Test
+  void targetThatTurnsOutToHoldAnUnknownFlowIsNoLongerTakenForNew() {
+    agent.onTargetListed(5, true, 9);
+    fromTarget(Fleet.data(Fleet.flow(3), 2, 100));
+    assertThat(agent.onAsked(Fleet.flow(1), nowMs)).isEqualTo(FlowKnowledge.UNKNOWN);
+  }
 }
--- a/forwarding/src/main/java/io/moorstage/forwarding/AgentDaemon.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/AgentDaemon.java
@@ -300,7 +300,7 @@
           "told-by",
           Endpoint.of(balancer, 0).host());
     }
-    agent.onTargetListed(beacon.targetStart(), beacon.tookOver());
+    agent.onTargetListed(beacon.targetStart(), beacon.tookOver(), beacon.revision());
     if (beacon.capacity() > 0) {
       agent.onCapacity(beacon.capacity());
     }
