Give an evacuated zone no new flow: evacuations are part of the state, and the agent is the authority

Change: an evacuation of a zone is set and lifted with a revision, and goes with the state to peers, copies and logs. Balancers place nothing in the zone; an agent, told by any balancer's beacon, gives openings back, so that the bound does not hang on the balancer that hears last. Open flows stay. A service whose targets are all in evacuated zones resets new flows at once.

Found while reading, and mended with a test: a node that had started by a reading answered a peer that knew an older revision with changes that lacked what had gone before the reading; the peer kept such targets as ready (and would have kept an evacuation) until its next complete reading. It now answers with the whole state.

--- a/core/src/main/java/io/moorstage/core/transparent/BalancerTables.java
+++ b/core/src/main/java/io/moorstage/core/transparent/BalancerTables.java
@@ -103,13 +103,21 @@
     for (AgentDirectory.HeardAgent agent : agents.all()) {
       int address = agent.slot().address();
       boolean isListed = listed != null && listed.at(address) != null;
-      if (agent.service().equals(service) && !isListed && agents.isHeard(address, nowMs)) {
+      boolean serves = agent.service().equals(service) && agents.isHeard(address, nowMs);
+      boolean evacuated = state.evacuations().isInForce(agent.slot().record().zone());
+      if (serves && !isListed && !evacuated) {
         unlisted.add(agent.slot());
       }
     }
     return unlisted;
   }
 
+  /** Returns whether all targets of a service are in evacuated zones: no wait brings one. */
+  boolean isEvacuated(String service) {
+    TargetPool listed = pools.ofService(service);
+    return listed != null && listed.isEvacuated();
+  }
+
   /** Returns which agents are heard from. */
   AgentDirectory agents() {
     return agents;
--- a/core/src/main/java/io/moorstage/core/transparent/FleetState.java
+++ b/core/src/main/java/io/moorstage/core/transparent/FleetState.java
@@ -15,17 +15,22 @@
 public final class FleetState {
   /** Nothing is known. */
   public static final FleetState EMPTY =
-      new FleetState(0, ForwardingConfiguration.NONE, new HashMap<>());
+      new FleetState(0, ForwardingConfiguration.NONE, new HashMap<>(), Evacuations.NONE);
 
   private final long revision;
   private final ForwardingConfiguration configuration;
   private final Map<String, TargetRecord> targets;
+  private final Evacuations evacuations;
 
   private FleetState(
-      long revision, ForwardingConfiguration configuration, Map<String, TargetRecord> targets) {
+      long revision,
+      ForwardingConfiguration configuration,
+      Map<String, TargetRecord> targets,
+      Evacuations evacuations) {
     this.revision = revision;
     this.configuration = configuration;
     this.targets = targets;
+    this.evacuations = evacuations;
   }
 
   /**
@@ -34,14 +39,18 @@
    * @param revision the source's revision up to which nothing is missing
    * @param configuration the newest configuration
    * @param targets the targets, those that are gone included for as long as they may serve
+   * @param evacuations the evacuations of zones
    */
   public static FleetState of(
-      long revision, ForwardingConfiguration configuration, Collection<TargetRecord> targets) {
+      long revision,
+      ForwardingConfiguration configuration,
+      Collection<TargetRecord> targets,
+      Evacuations evacuations) {
     Map<String, TargetRecord> byId = new HashMap<>();
     for (TargetRecord target : targets) {
       byId.put(target.id(), target);
     }
-    return new FleetState(revision, configuration, byId);
+    return new FleetState(revision, configuration, byId, evacuations);
   }
 
   /** Returns the source's revision up to which nothing is missing. */
@@ -54,6 +63,11 @@
     return configuration;
   }
 
+  /** Returns the evacuations of zones, those that have been lifted included. */
+  public Evacuations evacuations() {
+    return evacuations;
+  }
+
   /** Returns all targets, those that are gone included. */
   public Collection<TargetRecord> targets() {
     return targets.values();
@@ -91,7 +105,10 @@
     }
     boolean newer = other.configuration.version() > configuration.version();
     return new FleetState(
-        Math.max(revision, other.revision), newer ? other.configuration : configuration, merged);
+        Math.max(revision, other.revision),
+        newer ? other.configuration : configuration,
+        merged,
+        evacuations.merge(other.evacuations, revision));
   }
 
   /**
@@ -108,26 +125,35 @@
       }
     }
     boolean known = configuration.version() <= knownVersion;
-    return new FleetState(revision, known ? ForwardingConfiguration.NONE : configuration, newer);
+    return new FleetState(
+        revision,
+        known ? ForwardingConfiguration.NONE : configuration,
+        newer,
+        evacuations.since(knownRevision));
   }
 
   /**
    * Returns this state after a complete reading of the source: what is newer is taken over, and
-   * targets that the reading does not list are gone.
+   * targets that the reading does not list are gone, as are evacuations.
    */
   public FleetState replaceBy(FleetState reading) {
     if (reading.revision < revision) {
       // The reading is older than what we hold already; it must not take anything back.
       return merge(reading);
     }
-    FleetState merged = merge(reading);
+    Map<String, TargetRecord> replaced = merge(reading).targets;
     for (TargetRecord known : targets.values()) {
       boolean listed = reading.targets.containsKey(known.id());
       if (!listed && known.phase() != TargetPhase.GONE && known.revision() <= reading.revision) {
-        merged.targets.put(known.id(), known.gone(reading.revision));
+        replaced.put(known.id(), known.gone(reading.revision));
       }
     }
-    return merged;
+    boolean newer = reading.configuration.version() > configuration.version();
+    return new FleetState(
+        reading.revision,
+        newer ? reading.configuration : configuration,
+        replaced,
+        evacuations.replaceBy(reading.evacuations, reading.revision));
   }
 
   /** Returns this state after changes that the source has told. */
@@ -149,13 +175,16 @@
     ForwardingConfiguration next = changes.configuration();
     boolean newer = next != null && next.version() > configuration.version();
     return new FleetState(
-        Math.max(revision, changes.revision()), newer ? next : configuration, changed);
+        Math.max(revision, changes.revision()),
+        newer ? next : configuration,
+        changed,
+        evacuations.apply(changes.evacuations()));
   }
 
   /** Returns this state without some targets, which have been gone for long enough. */
   public FleetState without(Collection<String> forgottenIds) {
     Map<String, TargetRecord> kept = new HashMap<>(targets);
     kept.keySet().removeAll(forgottenIds);
-    return new FleetState(revision, configuration, kept);
+    return new FleetState(revision, configuration, kept, evacuations);
   }
 }
--- a/core/src/main/java/io/moorstage/core/transparent/FlowAgent.java
+++ b/core/src/main/java/io/moorstage/core/transparent/FlowAgent.java
@@ -27,6 +27,7 @@
   private final Deque<AgentFlow> opening = new ArrayDeque<>();
   private long seenConfigurationVersion;
   private TargetPhase phase = TargetPhase.READY;
+  private boolean evacuated;
   private long phaseRevision;
   private final RequestGate gate;
   private final TargetStart targetStart = new TargetStart();
@@ -68,6 +69,23 @@
     return changed;
   }
 
+  /**
+   * Takes whether the target's zone is evacuated.
+   *
+   * @param inForce whether a balancer knows of an evacuation of the zone that has not been lifted
+   * @param revision the source's revision at which the balancer knew it
+   * @return whether this has changed
+   */
+  public synchronized boolean onEvacuation(boolean inForce, long revision) {
+    if (revision < phaseRevision) {
+      return false;
+    }
+    phaseRevision = revision;
+    boolean changed = evacuated != inForce;
+    evacuated = inForce;
+    return changed;
+  }
+
   /**
    * Takes which target the source lists beside this agent.
    *
@@ -261,6 +279,10 @@
       giveBack(balancerAddress, ReturnReason.LEAVING, segment, datagram);
       return;
     }
+    if (evacuated) {
+      giveBack(balancerAddress, ReturnReason.EVACUATED, segment, datagram);
+      return;
+    }
     AgentFlow flow = flows.get(segment.flow());
     boolean known =
         flow != null
--- a/core/src/main/java/io/moorstage/core/transparent/FlowOpener.java
+++ b/core/src/main/java/io/moorstage/core/transparent/FlowOpener.java
@@ -97,15 +97,14 @@
     TargetPool pool = tables.candidatesOf(flow.service, nowMs);
     List<TargetSlot> excluded = new ArrayList<>(flow.tried);
     excluded.add(flow.target);
-    boolean mayRepeatHere = flow.target.record().phase() == TargetPhase.READY;
+    boolean mayRepeatHere = flow.target.takesNewFlows();
     boolean other = pool != null && pool.choose(flow.id, excluded, nowMs) != null;
     return other || !mayRepeatHere;
   }
 
   private static boolean mayRepeat(BalancerFlow flow, long nowMs) {
     TargetSlot target = flow.target;
-    boolean ready = target.record().phase() == TargetPhase.READY;
-    return ready && target.heardSince(flow.openedAtMs) && !target.isSuspect(nowMs);
+    return target.takesNewFlows() && target.heardSince(flow.openedAtMs) && !target.isSuspect(nowMs);
   }
 
   private void openWithoutRoute(Segment segment, long nowMs) {
@@ -143,6 +142,10 @@
       return;
     }
     tables.forget(flow);
+    if (tables.isEvacuated(flow.service)) {
+      resetOpening(segment, "evacuated", nowMs);
+      return;
+    }
     if (flow.tried.isEmpty() && waitForTarget(segment, datagram, nowMs)) {
       return;
     }
--- a/core/src/main/java/io/moorstage/core/transparent/ReturnReason.java
+++ b/core/src/main/java/io/moorstage/core/transparent/ReturnReason.java
@@ -13,7 +13,9 @@
   /** The balancer acts on an older configuration than one that was already in effect here. */
   OLD_CONFIGURATION,
   /** The target has not answered an opening segment in time. */
-  SILENT;
+  SILENT,
+  /** The target's zone is evacuated and takes no new flow. */
+  EVACUATED;
 
   private static final ReturnReason[] VALUES = values();
 
--- a/core/src/main/java/io/moorstage/core/transparent/StateChanges.java
+++ b/core/src/main/java/io/moorstage/core/transparent/StateChanges.java
@@ -11,9 +11,11 @@
  * @param written targets that are new or have changed
  * @param goneIds targets that are no longer listed, with the revision at which they went
  * @param configuration a newer configuration, or null if it has not changed
+ * @param evacuations evacuations of zones that were set or lifted
  */
 public record StateChanges(
     long revision,
     List<TargetRecord> written,
     Map<String, Long> goneIds,
-    @Nullable ForwardingConfiguration configuration) {}
+    @Nullable ForwardingConfiguration configuration,
+    List<ZoneEvacuation> evacuations) {}
--- a/core/src/main/java/io/moorstage/core/transparent/TargetPool.java
+++ b/core/src/main/java/io/moorstage/core/transparent/TargetPool.java
@@ -60,13 +60,23 @@
   int readyCount() {
     int count = 0;
     for (TargetSlot slot : slots) {
-      if (slot.record().phase() == TargetPhase.READY) {
+      if (slot.takesNewFlows()) {
         count++;
       }
     }
     return count;
   }
 
+  /** Returns whether there are targets, and the zones of all of them are evacuated. */
+  boolean isEvacuated() {
+    for (TargetSlot slot : slots) {
+      if (!slot.isEvacuated()) {
+        return false;
+      }
+    }
+    return !slots.isEmpty();
+  }
+
   /** Returns the target at an address, or null if none is known there. */
   @Nullable
   TargetSlot at(int address) {
@@ -95,7 +105,7 @@
     HighestTwo ofZone = new HighestTwo(flow.hash());
     HighestTwo ofAll = new HighestTwo(flow.hash());
     for (TargetSlot slot : slots) {
-      if (slot.record().phase() != TargetPhase.READY || isAmong(tried, slot.address())) {
+      if (!slot.takesNewFlows() || isAmong(tried, slot.address())) {
         continue;
       }
       if (!suspectsToo && slot.isSuspect(nowMs) && policy.uses(Mechanism.SUSPICION)) {
--- a/core/src/main/java/io/moorstage/core/transparent/TargetPools.java
+++ b/core/src/main/java/io/moorstage/core/transparent/TargetPools.java
@@ -43,6 +43,7 @@
       } else {
         slot.update(record);
       }
+      slot.evacuate(state.evacuations().isInForce(record.zone()), nowMs);
       slots.put(record.id(), slot);
       members.computeIfAbsent(record.service(), service -> new ArrayList<>()).add(slot);
     }
--- a/core/src/main/java/io/moorstage/core/transparent/TargetSlot.java
+++ b/core/src/main/java/io/moorstage/core/transparent/TargetSlot.java
@@ -14,6 +14,7 @@
   private static final double AVERAGING_MS = 2_000;
 
   private volatile TargetRecord record;
+  private volatile boolean evacuated;
   private final long hash;
   private final AtomicInteger activeFlows = new AtomicInteger();
   private volatile long suspectUntilMs = NEVER;
@@ -42,6 +43,24 @@
     record = newer;
   }
 
+  /** Takes whether the zone is evacuated; a target may be cold again when that ends. */
+  void evacuate(boolean inForce, long nowMs) {
+    if (evacuated && !inForce) {
+      coldUntilMs = Math.max(coldUntilMs, nowMs + record.slowStartMs());
+    }
+    evacuated = inForce;
+  }
+
+  /** Returns whether the target's zone is evacuated. */
+  boolean isEvacuated() {
+    return evacuated;
+  }
+
+  /** Returns whether the target takes new flows as far as the source tells. */
+  boolean takesNewFlows() {
+    return record.phase() == TargetPhase.READY && !evacuated;
+  }
+
   /** Returns the address of the machine that the target and its agent run on. */
   public int address() {
     return record.address();
--- /dev/null
+++ b/core/src/main/java/io/moorstage/core/transparent/ZoneEvacuation.java
@@ -0,0 +1,11 @@
+package io.moorstage.core.transparent;
+
+/**
+ * What the configuration source tells of the evacuation of a zone: while it is in force, the zone's
+ * targets get no new flow.
+ *
+ * @param zone name of the zone
+ * @param inForce whether the evacuation is in force; false once it has been lifted
+ * @param revision the source's revision of this change
+ */
+public record ZoneEvacuation(String zone, boolean inForce, long revision) {}
--- a/core/src/test/java/io/moorstage/core/transparent/Fleet.java
+++ b/core/src/test/java/io/moorstage/core/transparent/Fleet.java
@@ -68,7 +68,24 @@
     ForwardingRoute route =
         new ForwardingRoute(SERVICE_ADDRESS, PORT, 3_000, List.of(new WeightedService(SERVICE, 1)));
     return FleetState.of(
-        revision, new ForwardingConfiguration(version, 60_000, List.of(route)), List.of(targets));
+        revision,
+        new ForwardingConfiguration(version, 60_000, List.of(route)),
+        List.of(targets),
+        Evacuations.NONE);
+  }
+
+  /** Returns a state with zones evacuated at its revision. */
+  static FleetState evacuated(FleetState state, String... zones) {
+    List<ZoneEvacuation> evacuations = new ArrayList<>();
+    for (String zone : zones) {
+      evacuations.add(new ZoneEvacuation(zone, true, state.revision()));
+    }
+    return FleetState.of(
+        state.revision(), state.configuration(), state.targets(), Evacuations.of(evacuations));
+  }
+
+  static TargetRecord targetIn(String zone, int address) {
+    return new TargetRecord("t" + address, SERVICE, address, zone, 2, TargetPhase.READY, 0, 1, 1);
   }
 
   /** What a balancer did, one text each. */
--- a/core/src/test/java/io/moorstage/core/transparent/FleetStatePropertiesTest.java
+++ b/core/src/test/java/io/moorstage/core/transparent/FleetStatePropertiesTest.java
@@ -16,17 +16,37 @@
   private static final int ADDRESSES = 3;
   private static final int STEPS = 40;
   private static final int NODES = 3;
+  private static final String[] ZONES = {"lac", "ariana"};
   private static final String[] SERVICES = {"tables", "bundles"};
 
   /** What a source holds and has held: targets that start, drain, die, lapse and come back. */
   private static final class History {
     private final Map<String, TargetRecord> listed = new HashMap<>();
     private final Map<Integer, String> livingAt = new HashMap<>();
+    private final Map<String, Long> evacuated = new HashMap<>();
     private final List<StateChanges> events = new ArrayList<>();
     private long revision;
     private int starts;
 
     void step(Random random) {
+      if (random.nextInt(5) == 0) {
+        evacuateOrLift(ZONES[random.nextInt(ZONES.length)]);
+        return;
+      }
+      stepOfTargets(random);
+    }
+
+    private void evacuateOrLift(String zone) {
+      revision++;
+      boolean lifts = evacuated.remove(zone) != null;
+      if (!lifts) {
+        evacuated.put(zone, revision);
+      }
+      ZoneEvacuation change = new ZoneEvacuation(zone, !lifts, revision);
+      events.add(new StateChanges(revision, List.of(), Map.of(), null, List.of(change)));
+    }
+
+    private void stepOfTargets(Random random) {
       int address = random.nextInt(ADDRESSES);
       String living = livingAt.get(address);
       if (living == null || random.nextInt(4) == 0) {
@@ -55,13 +75,13 @@
     private void write(TargetRecord record) {
       revision++;
       listed.put(record.id(), record);
-      events.add(new StateChanges(revision, List.of(record), Map.of(), null));
+      events.add(new StateChanges(revision, List.of(record), Map.of(), null, List.of()));
     }
 
     private void remove(String id) {
       if (listed.remove(id) != null) {
         revision++;
-        events.add(new StateChanges(revision, List.of(), Map.of(id, revision), null));
+        events.add(new StateChanges(revision, List.of(), Map.of(id, revision), null, List.of()));
       }
     }
 
@@ -98,7 +118,10 @@
     }
 
     FleetState reading() {
-      return FleetState.of(revision, ForwardingConfiguration.NONE, listed.values());
+      List<ZoneEvacuation> inForce = new ArrayList<>();
+      evacuated.forEach((zone, since) -> inForce.add(new ZoneEvacuation(zone, true, since)));
+      return FleetState.of(
+          revision, ForwardingConfiguration.NONE, listed.values(), Evacuations.of(inForce));
     }
 
     List<StateChanges> after(long known) {
@@ -179,6 +202,36 @@
     mixed = mixed.replaceBy(history.reading());
     assertShowsLiving(history, mixed);
     assertShowsLiving(history, byEvents);
+    assertThat(mixed.evacuations().zones()).isEqualTo(history.evacuated.keySet());
+    assertThat(byEvents.evacuations().zones()).isEqualTo(history.evacuated.keySet());
+  }
+
+  @Property(seed = "20261202", tries = 500)
+  void nodeThatKnowsTheNewestRevisionKnowsWhichZonesAreEvacuated(@ForAll long seed) {
+    Random random = new Random(seed);
+    History history = new History();
+    FleetState byEvents = FleetState.EMPTY;
+    FleetState other = FleetState.EMPTY;
+    for (int step = 0; step < STEPS; step++) {
+      history.step(random);
+      for (StateChanges changes : history.after(byEvents.revision())) {
+        byEvents = byEvents.apply(changes);
+      }
+      FleetState stale = other;
+      if (random.nextInt(3) == 0) {
+        other = random.nextBoolean() ? other.merge(byEvents) : other.replaceBy(history.reading());
+      }
+      assertKnowsEvacuations(history, other);
+      // What is older neither lifts an evacuation nor sets it again.
+      assertKnowsEvacuations(history, byEvents.merge(stale));
+      assertKnowsEvacuations(history, byEvents.replaceBy(stale));
+    }
+  }
+
+  private static void assertKnowsEvacuations(History history, FleetState state) {
+    if (state.revision() == history.revision) {
+      assertThat(state.evacuations().zones()).isEqualTo(history.evacuated.keySet());
+    }
   }
 
   // A reading does not tell that a target came and went meanwhile, so the dead one before it may
--- a/core/src/test/java/io/moorstage/core/transparent/FleetStateTest.java
+++ b/core/src/test/java/io/moorstage/core/transparent/FleetStateTest.java
@@ -26,7 +26,8 @@
   @Test
   void targetThatIsWrittenAndGoesInOneAnswerIsGone() {
     StateChanges changes =
-        new StateChanges(9, List.of(Fleet.target(2, TargetPhase.READY, 8)), Map.of("t2", 9L), null);
+        new StateChanges(
+            9, List.of(Fleet.target(2, TargetPhase.READY, 8)), Map.of("t2", 9L), null, List.of());
     FleetState state = Fleet.state(5, READY).apply(changes);
     assertThat(state.target("t2").phase()).isEqualTo(TargetPhase.GONE);
     assertThat(state.target(READY.id()).phase()).isEqualTo(TargetPhase.READY);
@@ -35,8 +36,9 @@
   @Test
   void eventsThatAreToldAgainChangeNothing() {
     StateChanges draining =
-        new StateChanges(6, List.of(Fleet.target(1, TargetPhase.DRAINING, 6)), Map.of(), null);
-    StateChanges repeated = new StateChanges(6, List.of(READY), Map.of(), null);
+        new StateChanges(
+            6, List.of(Fleet.target(1, TargetPhase.DRAINING, 6)), Map.of(), null, List.of());
+    StateChanges repeated = new StateChanges(6, List.of(READY), Map.of(), null, List.of());
     FleetState state = Fleet.state(5, READY).apply(draining).apply(repeated);
     assertThat(state.target(READY.id()).phase()).isEqualTo(TargetPhase.DRAINING);
   }
@@ -46,7 +48,7 @@
   void targetIsNotHiddenByTheLaterLapseOfTheOneBeforeItAtItsAddress() {
     TargetRecord before = Fleet.listed("before", Fleet.SERVICE, 1, 3);
     TargetRecord now = Fleet.listed("now", Fleet.SERVICE, 1, 6);
-    StateChanges lapse = new StateChanges(8, List.of(), Map.of("before", 8L), null);
+    StateChanges lapse = new StateChanges(8, List.of(), Map.of("before", 8L), null, List.of());
     FleetState state = Fleet.state(7, before, now).apply(lapse);
     assertThat(state.targetsByAddress()).containsExactly(1, now);
   }
@@ -74,14 +76,14 @@
     TargetRecord first = Fleet.listed("t", Fleet.SERVICE, 1, 3);
     TargetRecord back = Fleet.listed("t", Fleet.SERVICE, 1, 9);
     FleetState lapsed = Fleet.state(7, first).replaceBy(Fleet.state(8));
-    FleetState state = lapsed.apply(new StateChanges(9, List.of(back), Map.of(), null));
+    FleetState state = lapsed.apply(new StateChanges(9, List.of(back), Map.of(), null, List.of()));
     assertThat(state.targetsByAddress()).containsExactly(1, back);
   }
 
   @Test
   void configurationOfALowerVersionIsNeverTaken() {
     StateChanges older =
-        new StateChanges(9, List.of(), Map.of(), Fleet.state(9, 2).configuration());
+        new StateChanges(9, List.of(), Map.of(), Fleet.state(9, 2).configuration(), List.of());
     assertThat(Fleet.state(5, 3).apply(older).configuration().version()).isEqualTo(3);
   }
 
--- a/core/src/test/java/io/moorstage/core/transparent/FlowAgentTest.java
+++ b/core/src/test/java/io/moorstage/core/transparent/FlowAgentTest.java
@@ -65,6 +65,24 @@
     assertThat(actions.givenBack).containsExactly(ReturnReason.LEAVING);
   }
 
+  // The bound must not depend on the balancer that hears last of the evacuation.
+  @Test
+  void targetOfAnEvacuatedZoneGetsNoOpeningWhateverABalancerSendsAndKeepsItsFlows() {
+    openFlow(1);
+    assertThat(agent.onEvacuation(true, 9)).isTrue();
+    forwarded(Fleet.open(Fleet.flow(2), 0));
+    forwarded(Fleet.data(Fleet.flow(1), 101, 10));
+    assertThat(actions.delivered).hasSize(2);
+    assertThat(actions.givenBack).containsExactly(ReturnReason.EVACUATED);
+
+    assertThat(agent.onEvacuation(false, 8)).isFalse();
+    forwarded(Fleet.open(Fleet.flow(3), 0));
+    assertThat(actions.delivered).hasSize(2);
+    assertThat(agent.onEvacuation(false, 12)).isTrue();
+    forwarded(Fleet.open(Fleet.flow(3), 0));
+    assertThat(actions.delivered).hasSize(3);
+  }
+
   @Test
   void olderWordOfTheTargetsPhaseIsNotTaken() {
     agent.onPhase(TargetPhase.DRAINING, 9);
--- a/core/src/test/java/io/moorstage/core/transparent/FlowBalancerTest.java
+++ b/core/src/test/java/io/moorstage/core/transparent/FlowBalancerTest.java
@@ -78,6 +78,64 @@
     assertThat(actions.forwardedTo).doesNotContain(C);
   }
 
+  @Test
+  void newFlowNeverGoesToAnEvacuatedZoneAndOpenOnesStayThere() {
+    FleetState state = Fleet.state(5, Fleet.targetIn(Fleet.ZONE, A));
+    takeState(state);
+    client(Fleet.open(Fleet.flow(1), 0));
+    client(Fleet.data(Fleet.flow(1), 101, 10));
+    FleetState both = Fleet.state(6, Fleet.targetIn(Fleet.ZONE, A), Fleet.targetIn("other", B));
+    takeState(Fleet.evacuated(both, Fleet.ZONE));
+    for (int port = 2; port <= 50; port++) {
+      client(Fleet.open(Fleet.flow(port), 0));
+      assertThat(actions.last()).isEqualTo(B);
+    }
+    client(Fleet.data(Fleet.flow(1), 111, 10));
+    assertThat(actions.last()).isEqualTo(A);
+  }
+
+  @Test
+  void copyOfAnOpeningDoesNotGoToATargetWhoseZoneHasBeenEvacuatedSince() {
+    FleetState state = Fleet.state(5, Fleet.targetIn(Fleet.ZONE, A), Fleet.targetIn("other", B));
+    takeState(Fleet.evacuated(state, "other"));
+    hear(A, B);
+    client(Fleet.open(Fleet.flow(1), 0));
+    assertThat(actions.forwardedTo).containsExactly(A);
+    FleetState later = Fleet.state(6, Fleet.targetIn(Fleet.ZONE, A), Fleet.targetIn("other", B));
+    takeState(Fleet.evacuated(later, Fleet.ZONE));
+    nowMs += 200;
+    hear(A, B);
+    client(Fleet.open(Fleet.flow(1), 1));
+    assertThat(actions.forwardedTo).containsExactly(A, B);
+  }
+
+  @Test
+  void newFlowIsResetAtOnceWhenTheZonesOfAllTargetsAreEvacuated() {
+    FleetState state = Fleet.state(5, Fleet.targetIn(Fleet.ZONE, A), Fleet.targetIn("other", B));
+    takeState(Fleet.evacuated(state, Fleet.ZONE, "other"));
+    client(Fleet.open(Fleet.flow(1), 0));
+    assertThat(actions.forwardedTo).isEmpty();
+    assertThat(actions.reset).containsExactly(Fleet.flow(1));
+  }
+
+  @Test
+  void agentThatIsNotListedGetsNoNewFlowInAnEvacuatedZone() {
+    takeState(Fleet.evacuated(Fleet.state(5), Fleet.ZONE));
+    hear(A, B);
+    client(Fleet.open(Fleet.flow(1), 0));
+    assertThat(actions.forwardedTo).isEmpty();
+  }
+
+  @Test
+  void openingThatAnAgentOfAnEvacuatedZoneReturnsGoesElsewhere() {
+    takeState(Fleet.state(5, Fleet.targetIn(Fleet.ZONE, A), Fleet.targetIn("other", B)));
+    Segment open = Fleet.open(Fleet.flow(1), 0);
+    client(open);
+    assertThat(actions.last()).isEqualTo(A);
+    givenBack(A, ReturnReason.EVACUATED, 1, open);
+    assertThat(actions.last()).isEqualTo(B);
+  }
+
   @Test
   void refusedFlowGoesToAnotherTarget() {
     takeState(threeTargets());
--- a/forwarding/src/main/java/io/moorstage/forwarding/AgentDaemon.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/AgentDaemon.java
@@ -300,6 +300,16 @@
           "told-by",
           Endpoint.of(balancer, 0).host());
     }
+    if (beacon.phase() != null && agent.onEvacuation(beacon.evacuated(), beacon.revision())) {
+      log.event(
+          "target-evacuation",
+          "in-force",
+          beacon.evacuated(),
+          "revision",
+          beacon.revision(),
+          "told-by",
+          Endpoint.of(balancer, 0).host());
+    }
     agent.onTargetListed(beacon.targetStart(), beacon.tookOver(), beacon.revision());
     if (beacon.capacity() > 0) {
       agent.onCapacity(beacon.capacity());
--- a/forwarding/src/main/java/io/moorstage/forwarding/BalancerBeacons.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/BalancerBeacons.java
@@ -5,6 +5,7 @@
 import io.moorstage.core.transparent.TargetRecord;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.function.LongToIntFunction;
 import javax.annotation.Nullable;
@@ -116,11 +117,12 @@
   }
 
   /**
-   * Tells what has changed: agents of the own zone what the source says of their targets, and
-   * balancers that there is a newer state. A balancer that the source refuses thus learns of a
-   * configuration before agents, which go by the newest they have seen, give back what it forwards.
+   * Tells what has changed: agents of the own zone what the source says of their targets and of the
+   * zone, and balancers that there is a newer state. A balancer that the source refuses thus learns
+   * of a configuration before agents, which go by the newest they have seen, give back what it
+   * forwards.
    */
-  synchronized void sendChanges(FleetState state, List<TargetRecord> changed, long nowMs) {
+  synchronized void sendChanges(FleetState state, Collection<TargetRecord> changed, long nowMs) {
     int reportIntervalMs = reportIntervalMs(nowMs);
     agents = agents.of(state);
     boolean few = agents.count() <= FEW_AGENTS;
@@ -159,6 +161,7 @@
             state.revision(),
             zone,
             phase,
+            state.evacuations().isInForce(receiversZone),
             capacity,
             target == null ? 0 : target.startNumber(),
             agents.tookOver(address),
--- a/forwarding/src/main/java/io/moorstage/forwarding/BalancerDaemon.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/BalancerDaemon.java
@@ -243,11 +243,15 @@
     balancer.onState(after, nowMs);
     boolean configurationChanged = changes.logConfiguration(before, after);
     List<TargetRecord> changedTargets = changes.logTargets(before, after);
+    boolean evacuationsChanged = changes.logEvacuations(before, after);
     if (!ready && !stopping && after.configuration().version() > 0) {
       ready = true;
       log.event("ready", "revision", after.revision());
     }
-    if (configurationChanged || !changedTargets.isEmpty()) {
+    if (evacuationsChanged) {
+      // Each agent has to know, so that none takes what a balancer that is behind sends it.
+      beacons.sendChanges(after, after.targets(), nowMs);
+    } else if (configurationChanged || !changedTargets.isEmpty()) {
       beacons.sendChanges(after, changedTargets, nowMs);
     }
   }
--- a/forwarding/src/main/java/io/moorstage/forwarding/FleetStateCodec.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/FleetStateCodec.java
@@ -1,11 +1,13 @@
 package io.moorstage.forwarding;
 
+import io.moorstage.core.transparent.Evacuations;
 import io.moorstage.core.transparent.FleetState;
 import io.moorstage.core.transparent.ForwardingConfiguration;
 import io.moorstage.core.transparent.ForwardingRoute;
 import io.moorstage.core.transparent.TargetPhase;
 import io.moorstage.core.transparent.TargetRecord;
 import io.moorstage.core.transparent.WeightedService;
+import io.moorstage.core.transparent.ZoneEvacuation;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
@@ -16,8 +18,8 @@
 
 /** The form in which nodes hand each other a {@link FleetState}. */
 public final class FleetStateCodec {
-  private static final int COMPLETE = 2;
-  private static final int CHANGES = 3;
+  private static final int COMPLETE = 4;
+  private static final int CHANGES = 5;
   private static final int MAX_ENTRIES = 1_000_000;
 
   private FleetStateCodec() {}
@@ -50,6 +52,7 @@
       for (TargetRecord target : state.targets()) {
         writeTarget(target, out);
       }
+      writeEvacuations(state.evacuations(), out);
     } catch (IOException e) {
       throw new IllegalStateException("memory can be written to", e);
     }
@@ -85,6 +88,16 @@
     out.writeLong(target.revision());
   }
 
+  private static void writeEvacuations(Evacuations evacuations, DataOutputStream out)
+      throws IOException {
+    out.writeInt(evacuations.all().size());
+    for (ZoneEvacuation evacuation : evacuations.all()) {
+      out.writeUTF(evacuation.zone());
+      out.writeBoolean(evacuation.inForce());
+      out.writeLong(evacuation.revision());
+    }
+  }
+
   /**
    * Reads a state or changes of one.
    *
@@ -103,7 +116,7 @@
       for (int i = 0; i < count; i++) {
         targets.add(readTarget(in));
       }
-      FleetState state = FleetState.of(revision, configuration, targets);
+      FleetState state = FleetState.of(revision, configuration, targets, readEvacuations(in));
       return new PeerState(state, format == COMPLETE);
     } catch (IOException e) {
       throw new StateSourceException(
@@ -138,6 +151,15 @@
     return new ForwardingConfiguration(version, idleTimeoutMs, routes);
   }
 
+  private static Evacuations readEvacuations(DataInputStream in) throws IOException {
+    int count = readCount(in);
+    List<ZoneEvacuation> evacuations = new ArrayList<>(0);
+    for (int i = 0; i < count; i++) {
+      evacuations.add(new ZoneEvacuation(in.readUTF(), in.readBoolean(), in.readLong()));
+    }
+    return Evacuations.of(evacuations);
+  }
+
   private static TargetRecord readTarget(DataInputStream in) throws IOException {
     String id = in.readUTF();
     String service = in.readUTF();
--- a/forwarding/src/main/java/io/moorstage/forwarding/PeerMessage.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/PeerMessage.java
@@ -61,6 +61,7 @@
    * @param revision the source's revision that the balancer has
    * @param zone the balancer's zone
    * @param phase how far the receiving agent's target is in its life, or null if not known
+   * @param evacuated whether the zone of this target is evacuated; of no meaning without a phase
    * @param capacity the requests that this target works on at a time, 0 if not known
    * @param targetStart names the start of the receiving agent's target, 0 if none is listed
    * @param tookOver whether the source still lists, as ready, the target before that one
@@ -74,6 +75,7 @@
       long revision,
       String zone,
       @Nullable TargetPhase phase,
+      boolean evacuated,
       int capacity,
       long targetStart,
       boolean tookOver,
--- a/forwarding/src/main/java/io/moorstage/forwarding/PeerMessageCodec.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/PeerMessageCodec.java
@@ -66,8 +66,10 @@
       putText(beacon.zone(), out);
       TargetPhase phase = beacon.phase();
       out.put((byte) (phase == null ? NO_PHASE : phase.ordinal()));
+      putFlag(beacon.evacuated(), out);
       out.putInt(beacon.capacity()).putLong(beacon.targetStart());
-      out.put((byte) (beacon.tookOver() ? 1 : 0)).put((byte) (beacon.keepsCopy() ? 1 : 0));
+      putFlag(beacon.tookOver(), out);
+      putFlag(beacon.keepsCopy(), out);
       out.putInt(beacon.reportIntervalMs()).putInt(beacon.confirmedAgeMs());
       putAddresses(beacon.balancers(), out);
     } else if (message instanceof PeerMessage.AgentBeacon beacon) {
@@ -75,11 +77,15 @@
       putText(beacon.service(), out);
       putText(beacon.zone(), out);
       out.putLong(beacon.revision()).putInt(beacon.busyFlows());
-      out.put((byte) (beacon.stopping() ? 1 : 0));
+      putFlag(beacon.stopping(), out);
       putAddresses(beacon.balancers(), out);
     }
   }
 
+  private static void putFlag(boolean flag, ByteBuffer out) {
+    out.put((byte) (flag ? 1 : 0));
+  }
+
   private static void putText(String text, ByteBuffer out) {
     byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
     int length = Math.min(bytes.length, BYTE_MASK);
@@ -180,6 +186,7 @@
         revision,
         zone,
         phase,
+        in.get() != 0,
         in.getInt(),
         in.getLong(),
         in.get() != 0,
--- a/forwarding/src/main/java/io/moorstage/forwarding/StateChangeLog.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/StateChangeLog.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.Set;
 
 /** Logs what a newer state changes for this node. */
 final class StateChangeLog {
@@ -57,6 +58,23 @@
     return changed;
   }
 
+  /** Logs evacuations of zones that were set or lifted; returns whether there are any. */
+  boolean logEvacuations(FleetState before, FleetState after) {
+    Set<String> zonesBefore = before.evacuations().zones();
+    Set<String> zonesAfter = after.evacuations().zones();
+    logZones("zone-evacuated", zonesAfter, zonesBefore, after.revision());
+    logZones("zone-evacuation-lifted", zonesBefore, zonesAfter, after.revision());
+    return !zonesBefore.equals(zonesAfter);
+  }
+
+  private void logZones(String event, Set<String> zones, Set<String> others, long revision) {
+    for (String zone : zones) {
+      if (!others.contains(zone)) {
+        log.event(event, "zone", zone, "revision", revision);
+      }
+    }
+  }
+
   private void logTarget(TargetRecord target) {
     log.event(
         "target-" + target.phase().name().toLowerCase(Locale.ROOT),
--- a/forwarding/src/main/java/io/moorstage/forwarding/StateKeeper.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/StateKeeper.java
@@ -19,10 +19,24 @@
   private final int goneMemoryMs;
   private final Listener listener;
   private volatile long forgottenRevision;
+
+  /** Guarded by this. */
+  private final List<Gap> gaps = new ArrayList<>(1);
+
   private final Map<String, Long> goneSinceMs = new HashMap<>();
   private volatile FleetState state = FleetState.EMPTY;
   private volatile Encoded encoded;
 
+  /**
+   * Revisions between two states of which nothing is known, ends not included: what was listed only
+   * in between, and gone again, is in no state of this node, but maybe in that of a peer.
+   */
+  private record Gap(long afterRevision, long untilRevision) {
+    private boolean holds(long revision) {
+      return revision > afterRevision && revision < untilRevision;
+    }
+  }
+
   /** A state in the form that peers read. */
   private record Encoded(FleetState state, byte[] bytes) {}
 
@@ -43,7 +57,24 @@
   }
 
   void replaceBy(FleetState reading, long nowMs) {
-    change(current -> current.replaceBy(reading), nowMs);
+    change(
+        current -> {
+          noteGap(current.revision(), reading.revision());
+          return current.replaceBy(reading);
+        },
+        nowMs);
+  }
+
+  private void noteGap(long before, long after) {
+    // Peers that lack what has been forgotten get the whole state anyway.
+    gaps.removeIf(gap -> gap.untilRevision() <= forgottenRevision);
+    if (after > before + 1) {
+      gaps.add(new Gap(before, after));
+    }
+  }
+
+  private synchronized boolean isInGap(long revision) {
+    return gaps.stream().anyMatch(gap -> gap.holds(revision));
   }
 
   void apply(StateChanges changes, long nowMs) {
@@ -79,14 +110,15 @@
   }
 
   /**
-   * Returns the encoded changes since a revision that a peer knows, or the encoded state where
-   * something has been forgotten since; null if nothing is known.
+   * Returns the encoded changes since a revision that a peer knows, or the encoded state where this
+   * node may not know them all; null if nothing is known.
    */
   @Nullable
   byte[] encodedSince(long knownRevision, long knownVersion) {
     // Read before the revision that tells what was forgotten: a state never lacks more than that.
     FleetState current = state;
-    if (knownRevision <= 0 || knownRevision < forgottenRevision) {
+    boolean forgotten = knownRevision <= 0 || knownRevision < forgottenRevision;
+    if (forgotten || isInGap(knownRevision)) {
       return encoded();
     }
     return FleetStateCodec.encodeChanges(current.since(knownRevision, knownVersion));
--- a/forwarding/src/test/java/io/moorstage/forwarding/FirstStateReaderTest.java
+++ b/forwarding/src/test/java/io/moorstage/forwarding/FirstStateReaderTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import io.moorstage.core.transparent.Evacuations;
 import io.moorstage.core.transparent.FleetState;
 import io.moorstage.core.transparent.ForwardingConfiguration;
 import io.moorstage.core.transparent.StateChanges;
@@ -26,7 +27,8 @@
         if (readings.incrementAndGet() <= refusals) {
           throw new StateSourceException(StateSourceFailure.REFUSED, "status 503");
         }
-        return FleetState.of(7, new ForwardingConfiguration(version, 1_000, List.of()), List.of());
+        return FleetState.of(
+            7, new ForwardingConfiguration(version, 1_000, List.of()), List.of(), Evacuations.NONE);
       }
 
       @Override
--- a/forwarding/src/test/java/io/moorstage/forwarding/ListedAgentsTest.java
+++ b/forwarding/src/test/java/io/moorstage/forwarding/ListedAgentsTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import io.moorstage.core.transparent.Evacuations;
 import io.moorstage.core.transparent.FleetState;
 import io.moorstage.core.transparent.ForwardingConfiguration;
 import io.moorstage.core.transparent.TargetPhase;
@@ -18,7 +19,7 @@
       targets.add(new TargetRecord("a" + i, "s", 100 + i, "lac", 2, phase, 0, 1, 1));
       targets.add(new TargetRecord("b" + i, "s", 500 + i, "ariana", 2, phase, 0, 1, 1));
     }
-    return FleetState.of(3, ForwardingConfiguration.NONE, targets);
+    return FleetState.of(3, ForwardingConfiguration.NONE, targets, Evacuations.NONE);
   }
 
   private static int keepers(ListedAgents agents, int firstAddress) {
@@ -52,7 +53,8 @@
   }
 
   private static ListedAgents agents(TargetRecord... targets) {
-    return ListedAgents.NONE.of(FleetState.of(9, ForwardingConfiguration.NONE, List.of(targets)));
+    return ListedAgents.NONE.of(
+        FleetState.of(9, ForwardingConfiguration.NONE, List.of(targets), Evacuations.NONE));
   }
 
   @Test
--- a/forwarding/src/test/java/io/moorstage/forwarding/PeerMessageCodecTest.java
+++ b/forwarding/src/test/java/io/moorstage/forwarding/PeerMessageCodecTest.java
@@ -86,6 +86,7 @@
                     8,
                     "lac",
                     TargetPhase.DRAINING,
+                    true,
                     5,
                     77,
                     true,
@@ -94,6 +95,7 @@
                     120,
                     new int[] {1, 2}));
     assertThat(read.phase()).isEqualTo(TargetPhase.DRAINING);
+    assertThat(read.evacuated()).isTrue();
     assertThat(read.targetStart()).isEqualTo(77);
     assertThat(read.tookOver()).isTrue();
     assertThat(read.keepsCopy()).isFalse();
--- a/forwarding/src/test/java/io/moorstage/forwarding/StateKeeperTest.java
+++ b/forwarding/src/test/java/io/moorstage/forwarding/StateKeeperTest.java
@@ -2,11 +2,15 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import io.moorstage.core.transparent.Evacuations;
 import io.moorstage.core.transparent.FleetState;
 import io.moorstage.core.transparent.ForwardingConfiguration;
+import io.moorstage.core.transparent.StateChanges;
 import io.moorstage.core.transparent.TargetPhase;
 import io.moorstage.core.transparent.TargetRecord;
+import io.moorstage.core.transparent.ZoneEvacuation;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
@@ -17,7 +21,10 @@
 
   private static FleetState stateAt(long revision, TargetRecord... targets) {
     return FleetState.of(
-        revision, new ForwardingConfiguration(1, 1_000, List.of()), List.of(targets));
+        revision,
+        new ForwardingConfiguration(1, 1_000, List.of()),
+        List.of(targets),
+        Evacuations.NONE);
   }
 
   private static TargetRecord target(String id, long revision) {
@@ -107,6 +114,53 @@
     assertThat(FleetStateCodec.decode(keeper.encodedSince(0, 0)).complete()).isTrue();
   }
 
+  // A node that has started by a reading knows no target that was gone by then, and so tells of no
+  // change of it: a peer would keep it as ready for good.
+  @Test
+  void peerThatKnowsWhatWasGoneBeforeTheFirstReadingGetsTheWholeState()
+      throws StateSourceException {
+    StateKeeper keeper = new StateKeeper(GONE_MEMORY_MS, (before, after, nowMs) -> {});
+    keeper.replaceBy(stateAt(9, target("b", 4)), 0);
+    keeper.apply(new StateChanges(11, List.of(), Map.of(), null, List.of()), 0);
+
+    FleetStateCodec.PeerState told = FleetStateCodec.decode(keeper.encodedSince(7, 1));
+    assertThat(told.complete()).isTrue();
+    FleetState behind = stateAt(7, target("a", 2), target("b", 4));
+    assertThat(behind.replaceBy(told.state()).target("a").phase()).isEqualTo(TargetPhase.GONE);
+    assertThat(FleetStateCodec.decode(keeper.encodedSince(9, 1)).complete()).isFalse();
+  }
+
+  @Test
+  void evacuationThatWasLiftedBeforeTheFirstReadingIsNotKeptByAPeer() throws StateSourceException {
+    StateKeeper keeper = new StateKeeper(GONE_MEMORY_MS, (before, after, nowMs) -> {});
+    keeper.replaceBy(stateAt(9), 0);
+    ZoneEvacuation set = new ZoneEvacuation("z", true, 5);
+    FleetState behind =
+        stateAt(6).apply(new StateChanges(6, List.of(), Map.of(), null, List.of(set)));
+    assertThat(behind.evacuations().isInForce("z")).isTrue();
+
+    FleetStateCodec.PeerState told = FleetStateCodec.decode(keeper.encodedSince(6, 1));
+    assertThat(behind.replaceBy(told.state()).evacuations().isInForce("z")).isFalse();
+  }
+
+  @Test
+  void evacuationIsToldToPeersWithItsRevision() throws StateSourceException {
+    StateKeeper keeper = new StateKeeper(GONE_MEMORY_MS, (before, after, nowMs) -> {});
+    keeper.replaceBy(stateAt(3), 0);
+    ZoneEvacuation set = new ZoneEvacuation("z", true, 4);
+    ZoneEvacuation lifted = new ZoneEvacuation("z", false, 6);
+
+    keeper.apply(new StateChanges(4, List.of(), Map.of(), null, List.of(set)), 0);
+    FleetState peer = stateAt(3).merge(FleetStateCodec.decode(keeper.encodedSince(3, 1)).state());
+    assertThat(peer.evacuations().all()).containsExactly(set);
+
+    keeper.apply(new StateChanges(6, List.of(), Map.of(), null, List.of(lifted)), 0);
+    peer = peer.merge(FleetStateCodec.decode(keeper.encodedSince(4, 1)).state());
+    assertThat(peer.evacuations().all()).containsExactly(lifted);
+    assertThat(FleetStateCodec.decode(keeper.encoded()).state().evacuations().all())
+        .containsExactly(lifted);
+  }
+
   @Test
   void encodedStateIsThatOfTheNewestState() throws StateSourceException {
     StateKeeper keeper = new StateKeeper(GONE_MEMORY_MS, (before, after, nowMs) -> {});
--- a/lab/src/main/java/io/moorstage/lab/bench/TransparentFlows.java
+++ b/lab/src/main/java/io/moorstage/lab/bench/TransparentFlows.java
@@ -3,6 +3,7 @@
 import io.moorstage.core.transparent.AgentActions;
 import io.moorstage.core.transparent.BalancerActions;
 import io.moorstage.core.transparent.DecisionLog;
+import io.moorstage.core.transparent.Evacuations;
 import io.moorstage.core.transparent.FleetState;
 import io.moorstage.core.transparent.FlowAgent;
 import io.moorstage.core.transparent.FlowBalancer;
@@ -99,7 +100,8 @@
     ForwardingRoute route =
         new ForwardingRoute(
             SERVICE_ADDRESS, SERVICE_PORT, TIMEOUT_MS, List.of(new WeightedService(SERVICE, 1)));
-    return FleetState.of(1, new ForwardingConfiguration(1, 60_000, List.of(route)), targets);
+    return FleetState.of(
+        1, new ForwardingConfiguration(1, 60_000, List.of(route)), targets, Evacuations.NONE);
   }
 
   private static final class NoBalancerActions implements BalancerActions {
