Bound the new flows that a cold target gets by what it bears, at its agent

Cause: a target is cold after a start and after an evacuation of its zone, and bears only so many new flows a second (services of the configuration may say how many). Balancers only weighed its load; nothing bounded the sum of what they send.

Change: the configuration carries what a service's cold targets bear; a balancer tells it with each segment, and in its beacons for how long a start is cold. The agent counts the openings of a sliding second and gives back those beyond (reason COLD); it takes its target for cold after a start, after an evacuation, when the record turns cold, and for the time of a cold start after its own start. A balancer leaves a target that has refused out for 0.2 s, and resets a new flow at once where no other target takes it. 0 stands for no limit.

Ruled out: a token bucket, which lets twice the rate through in a second that begins with a full bucket; a limit at the balancers, none of which sees all openings.

On the way: what agents are told has types (ForwardTerms, TargetNews) in place of long parameter lists, and the decision on an opening has left FlowAgent for OpeningAdmission.

--- a/core/src/main/java/io/moorstage/core/transparent/BalancerActions.java
+++ b/core/src/main/java/io/moorstage/core/transparent/BalancerActions.java
@@ -9,17 +9,9 @@
    * Sends a client's segment to the agent beside a target.
    *
    * @param agentAddress the machine of agent and target
-   * @param service the service that the flow belongs to
-   * @param configurationVersion the configuration that this was decided by
-   * @param timeoutMs how long a request of the flow's route may take; 0 if not known
    * @param datagram the segment
    */
-  void forward(
-      int agentAddress,
-      String service,
-      long configurationVersion,
-      int timeoutMs,
-      ByteBuffer datagram);
+  void forward(int agentAddress, ForwardTerms terms, ByteBuffer datagram);
 
   /**
    * Asks an agent or another balancer what it knows of a flow, at the latest with {@link #flush}.
--- a/core/src/main/java/io/moorstage/core/transparent/BalancerFlow.java
+++ b/core/src/main/java/io/moorstage/core/transparent/BalancerFlow.java
@@ -34,10 +34,8 @@
   /** Whether the client has gone on after the opening, so that a target has answered. */
   boolean answered;
 
-  /** The time-out of the flow's route, as of the configuration of that version. */
-  int timeoutMs;
-
-  long timeoutVersion = -1;
+  /** What agents are told with the flow's segments, as of some configuration; null before. */
+  @Nullable ForwardTerms terms;
 
   @Nullable Location location;
 
--- a/core/src/main/java/io/moorstage/core/transparent/BalancerTables.java
+++ b/core/src/main/java/io/moorstage/core/transparent/BalancerTables.java
@@ -118,6 +118,12 @@
     return listed != null && listed.isEvacuated();
   }
 
+  /** Returns whether targets of a service are cold and have got as many flows as they bear. */
+  boolean isRefusing(String service, long nowMs) {
+    TargetPool listed = pools.ofService(service);
+    return listed != null && listed.isRefusing(nowMs);
+  }
+
   /** Returns which agents are heard from. */
   AgentDirectory agents() {
     return agents;
@@ -144,15 +150,20 @@
   }
 
   void send(BalancerFlow flow, TargetSlot target, ByteBuffer datagram) {
+    actions.forward(target.address(), termsOf(flow), datagram);
+  }
+
+  private ForwardTerms termsOf(BalancerFlow flow) {
     ForwardingConfiguration configuration = state.configuration();
     long version = configuration.version();
-    // Looked up once for each configuration, since it would be for every segment.
-    if (flow.timeoutVersion != version) {
+    // Made once for each configuration, since it would be for every segment.
+    if (flow.terms == null || flow.terms.configurationVersion() != version) {
       ForwardingRoute route = configuration.routeOf(flow.id);
-      flow.timeoutVersion = version;
-      flow.timeoutMs = route == null ? 0 : route.timeoutMs();
+      int timeoutMs = route == null ? 0 : route.timeoutMs();
+      int coldOpeningsPerS = configuration.coldStartOf(flow.service).openingsPerS();
+      flow.terms = new ForwardTerms(flow.service, version, timeoutMs, coldOpeningsPerS);
     }
-    actions.forward(target.address(), flow.service, version, flow.timeoutMs, datagram);
+    return flow.terms;
   }
 
   /** Returns the pools that may hold a flow: any service that its route shares flows among. */
--- /dev/null
+++ b/core/src/main/java/io/moorstage/core/transparent/ColdStartLimit.java
@@ -0,0 +1,65 @@
+package io.moorstage.core.transparent;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+/**
+ * Bounds the new flows that a target gets in any second while it is cold. Guarded by the lock of
+ * {@link FlowAgent}.
+ *
+ * <p>All openings of a target pass through its agent, so the bound holds whatever the balancers
+ * know. The window slides: a bucket of tokens would let twice the rate through in a second that
+ * begins with a full bucket. An agent that has started does not know for how long its target has
+ * been warm, and takes it for cold until the time of a cold start has passed.
+ */
+final class ColdStartLimit {
+  private static final int WINDOW_MS = 1_000;
+
+  /** Longer than any start: until a balancer tells, the target counts as cold. */
+  private static final int UNKNOWN_DURATION_MS = Integer.MAX_VALUE;
+
+  private final Deque<Long> openedAtMs = new ArrayDeque<>();
+  private long coldSinceMs;
+  private int durationMs = UNKNOWN_DURATION_MS;
+  private long startNumber;
+  private int slowStartMs;
+  private boolean evacuated;
+
+  ColdStartLimit(long nowMs) {
+    this.coldSinceMs = nowMs;
+  }
+
+  /** Takes what a balancer tells: a start, a record that turns cold or the end of an evacuation. */
+  void told(TargetNews news, long nowMs) {
+    boolean started = news.startNumber() != startNumber;
+    boolean turnedCold = news.slowStartMs() > slowStartMs;
+    boolean lifted = evacuated && !news.evacuated();
+    if (started || turnedCold || lifted) {
+      coldSinceMs = nowMs;
+    }
+    startNumber = news.startNumber();
+    slowStartMs = news.slowStartMs();
+    evacuated = news.evacuated();
+    durationMs = Math.max(news.coldStartMs(), news.slowStartMs());
+  }
+
+  /**
+   * Returns whether the target may get a new flow now, and if so counts it.
+   *
+   * @param openingsPerS how many it bears in a second while it is cold; 0 for no limit
+   */
+  boolean admits(int openingsPerS, long nowMs) {
+    if (openingsPerS <= 0) {
+      return true;
+    }
+    while (!openedAtMs.isEmpty() && nowMs - openedAtMs.peekFirst() > WINDOW_MS) {
+      openedAtMs.pollFirst();
+    }
+    boolean cold = nowMs - coldSinceMs <= durationMs;
+    if (cold && openedAtMs.size() >= openingsPerS) {
+      return false;
+    }
+    openedAtMs.addLast(nowMs);
+    return true;
+  }
+}
--- a/core/src/main/java/io/moorstage/core/transparent/FlowAgent.java
+++ b/core/src/main/java/io/moorstage/core/transparent/FlowAgent.java
@@ -25,10 +25,7 @@
   private final long startedAtMs;
   private final Map<FlowId, AgentFlow> flows = new HashMap<>();
   private final Deque<AgentFlow> opening = new ArrayDeque<>();
-  private long seenConfigurationVersion;
-  private TargetPhase phase = TargetPhase.READY;
-  private boolean evacuated;
-  private long phaseRevision;
+  private final OpeningAdmission admission;
   private final RequestGate gate;
   private final TargetStart targetStart = new TargetStart();
   private int waitingFlows;
@@ -50,63 +47,28 @@
     this.log = log;
     this.startedAtMs = nowMs;
     this.gate = new RequestGate(policy, 0);
+    this.admission = new OpeningAdmission(service, nowMs);
   }
 
   /**
    * Takes what a balancer knows of the target.
    *
-   * @param newPhase how far the target is in its life
-   * @param revision the source's revision at which the balancer knew it
-   * @return whether the phase has changed
+   * @return whether the target's phase, or the evacuation of its zone, has changed
    */
-  public synchronized boolean onPhase(TargetPhase newPhase, long revision) {
-    if (revision < phaseRevision) {
+  public synchronized boolean onTarget(TargetNews news, long nowMs) {
+    TargetPhase phaseBefore = admission.phase();
+    boolean evacuatedBefore = admission.isEvacuated();
+    if (!admission.told(news, nowMs)) {
       return false;
     }
-    phaseRevision = revision;
-    boolean changed = phase != newPhase;
-    phase = newPhase;
-    return changed;
-  }
-
-  /**
-   * Takes whether the target's zone is evacuated.
-   *
-   * @param inForce whether a balancer knows of an evacuation of the zone that has not been lifted
-   * @param revision the source's revision at which the balancer knew it
-   * @return whether this has changed
-   */
-  public synchronized boolean onEvacuation(boolean inForce, long revision) {
-    if (revision < phaseRevision) {
-      return false;
-    }
-    phaseRevision = revision;
-    boolean changed = evacuated != inForce;
-    evacuated = inForce;
-    return changed;
-  }
-
-  /**
-   * Takes which target the source lists beside this agent.
-   *
-   * @param id names this start of the target; 0 if none is listed
-   * @param tookOver whether the source still lists the target before it as ready
-   * @param revision the source's revision at which the balancer knew it
-   */
-  public synchronized void onTargetListed(long id, boolean tookOver, long revision) {
-    if (revision >= phaseRevision) {
-      targetStart.told(id, tookOver);
-    }
-  }
-
-  /** Takes the number of requests that the target works on at a time; 0 if it is not known. */
-  public synchronized void onCapacity(int capacity) {
-    gate.setCapacity(capacity);
+    targetStart.told(news.startNumber(), news.tookOver());
+    gate.setCapacity(news.capacity());
+    return phaseBefore != admission.phase() || evacuatedBefore != admission.isEvacuated();
   }
 
   /** Returns how far the target is in its life, as far as the agent knows. */
   public synchronized TargetPhase phase() {
-    return phase;
+    return admission.phase();
   }
 
   /** Returns how many flows have a request in progress. */
@@ -123,25 +85,16 @@
    * Takes a client's segment that a balancer forwards.
    *
    * @param balancerAddress the balancer's machine
-   * @param flowService the service that the balancer takes the flow to belong to
-   * @param configurationVersion the configuration that the balancer decided by
-   * @param timeoutMs how long a request of the flow's route may take; 0 if not known
    */
   public synchronized void onForwarded(
-      int balancerAddress,
-      String flowService,
-      long configurationVersion,
-      int timeoutMs,
-      Segment segment,
-      ByteBuffer datagram,
-      long nowMs) {
+      int balancerAddress, ForwardTerms terms, Segment segment, ByteBuffer datagram, long nowMs) {
     if (segment.kind() == Segment.Kind.OPEN) {
-      open(balancerAddress, flowService, configurationVersion, segment, datagram, nowMs);
+      open(balancerAddress, terms, segment, datagram, nowMs);
       return;
     }
     AgentFlow flow = flows.get(segment.flow());
     if (flow == null) {
-      if (!flowService.equals(service) || knowsAllFlows(nowMs)) {
+      if (!terms.service().equals(service) || knowsAllFlows(nowMs)) {
         giveBack(balancerAddress, ReturnReason.NOT_HELD, segment, datagram);
         return;
       }
@@ -153,7 +106,7 @@
     }
     flow.balancerAddress = balancerAddress;
     flow.lastUsedMs = nowMs;
-    if (mustWait(flow, timeoutMs, segment, datagram, nowMs)) {
+    if (mustWait(flow, terms.timeoutMs(), segment, datagram, nowMs)) {
       return;
     }
     if (segment.dataBytes() > 0 && noteClientData(flow, segment) && !flow.closed) {
@@ -260,27 +213,10 @@
   }
 
   private void open(
-      int balancerAddress,
-      String flowService,
-      long configurationVersion,
-      Segment segment,
-      ByteBuffer datagram,
-      long nowMs) {
-    if (!flowService.equals(service)) {
-      giveBack(balancerAddress, ReturnReason.OTHER_SERVICE, segment, datagram);
-      return;
-    }
-    if (configurationVersion < seenConfigurationVersion) {
-      giveBack(balancerAddress, ReturnReason.OLD_CONFIGURATION, segment, datagram);
-      return;
-    }
-    seenConfigurationVersion = configurationVersion;
-    if (phase != TargetPhase.READY) {
-      giveBack(balancerAddress, ReturnReason.LEAVING, segment, datagram);
-      return;
-    }
-    if (evacuated) {
-      giveBack(balancerAddress, ReturnReason.EVACUATED, segment, datagram);
+      int balancerAddress, ForwardTerms terms, Segment segment, ByteBuffer datagram, long nowMs) {
+    ReturnReason refusal = admission.refusal(terms, nowMs);
+    if (refusal != null) {
+      giveBack(balancerAddress, refusal, segment, datagram);
       return;
     }
     AgentFlow flow = flows.get(segment.flow());
@@ -306,7 +242,7 @@
   private void giveBack(
       int balancerAddress, ReturnReason reason, Segment segment, ByteBuffer datagram) {
     log.decided(Decision.GAVE_BACK, segment.flow(), balancerAddress, reason.name(), -1);
-    actions.giveBack(balancerAddress, reason, seenConfigurationVersion, datagram);
+    actions.giveBack(balancerAddress, reason, admission.configurationVersion(), datagram);
   }
 
   private void setBusy(AgentFlow flow, boolean busy, long nowMs) {
@@ -461,7 +397,7 @@
             ReturnReason.SILENT.name(),
             nowMs - flow.openedAtMs);
         actions.giveBack(
-            flow.balancerAddress, ReturnReason.SILENT, seenConfigurationVersion, datagram);
+            flow.balancerAddress, ReturnReason.SILENT, admission.configurationVersion(), datagram);
       }
     }
   }
--- a/core/src/main/java/io/moorstage/core/transparent/FlowOpener.java
+++ b/core/src/main/java/io/moorstage/core/transparent/FlowOpener.java
@@ -13,6 +13,13 @@
   private static final int MAX_WAITING_OPENS = 512;
   private static final int CONFIGURATION_WAIT_MS = 180;
 
+  /**
+   * For how long a balancer leaves out a cold target that has refused a flow. A place comes free
+   * within a second; a dozen balancers that each try five times a second cost the agent some 60
+   * returned openings a second.
+   */
+  private static final int COLD_PAUSE_MS = 200;
+
   private final ForwardingPolicy policy;
   private final BalancerActions actions;
   private final DecisionLog log;
@@ -146,6 +153,10 @@
       resetOpening(segment, "evacuated", nowMs);
       return;
     }
+    if (tables.isRefusing(flow.service, nowMs)) {
+      resetOpening(segment, "cold", nowMs);
+      return;
+    }
     if (flow.tried.isEmpty() && waitForTarget(segment, datagram, nowMs)) {
       return;
     }
@@ -198,10 +209,11 @@
       if (!flow.tried.contains(refusing)) {
         flow.tried.add(refusing);
       }
-      if (reason == ReturnReason.SILENT) {
-        refusing.suspect(policy.suspicionMs(), nowMs);
-      } else if (reason != ReturnReason.FULL) {
-        refusing.leave(policy.suspicionMs(), nowMs);
+      switch (reason) {
+        case SILENT -> refusing.suspect(policy.suspicionMs(), nowMs);
+        case COLD -> refusing.refuse(COLD_PAUSE_MS, nowMs);
+        case FULL -> {}
+        default -> refusing.leave(policy.suspicionMs(), nowMs);
       }
     }
     // Another copy may have been placed elsewhere meanwhile.
--- /dev/null
+++ b/core/src/main/java/io/moorstage/core/transparent/ForwardTerms.java
@@ -0,0 +1,13 @@
+package io.moorstage.core.transparent;
+
+/**
+ * What a balancer tells an agent with each segment that it forwards.
+ *
+ * @param service the service that the balancer takes the flow to belong to
+ * @param configurationVersion the configuration that the balancer decided by
+ * @param timeoutMs how long a request of the flow's route may take; 0 if not known
+ * @param coldOpeningsPerS how many new flows a cold target of the service bears in a second; 0 for
+ *     no limit
+ */
+public record ForwardTerms(
+    String service, long configurationVersion, int timeoutMs, int coldOpeningsPerS) {}
--- a/core/src/main/java/io/moorstage/core/transparent/ReturnReason.java
+++ b/core/src/main/java/io/moorstage/core/transparent/ReturnReason.java
@@ -15,7 +15,9 @@
   /** The target has not answered an opening segment in time. */
   SILENT,
   /** The target's zone is evacuated and takes no new flow. */
-  EVACUATED;
+  EVACUATED,
+  /** The target is cold and has got as many new flows in the last second as it bears. */
+  COLD;
 
   private static final ReturnReason[] VALUES = values();
 
--- a/core/src/main/java/io/moorstage/core/transparent/TargetPool.java
+++ b/core/src/main/java/io/moorstage/core/transparent/TargetPool.java
@@ -69,12 +69,12 @@
 
   /** Returns whether there are targets, and the zones of all of them are evacuated. */
   boolean isEvacuated() {
-    for (TargetSlot slot : slots) {
-      if (!slot.isEvacuated()) {
-        return false;
-      }
-    }
-    return !slots.isEmpty();
+    return !slots.isEmpty() && slots.stream().allMatch(TargetSlot::isEvacuated);
+  }
+
+  /** Returns whether some targets take no new flow just because they are cold. */
+  boolean isRefusing(long nowMs) {
+    return slots.stream().anyMatch(slot -> slot.takesNewFlows() && slot.isRefusing(nowMs));
   }
 
   /** Returns the target at an address, or null if none is known there. */
@@ -105,7 +105,8 @@
     HighestTwo ofZone = new HighestTwo(flow.hash());
     HighestTwo ofAll = new HighestTwo(flow.hash());
     for (TargetSlot slot : slots) {
-      if (!slot.takesNewFlows() || isAmong(tried, slot.address())) {
+      boolean takes = slot.takesNewFlows() && !slot.isRefusing(nowMs);
+      if (!takes || isAmong(tried, slot.address())) {
         continue;
       }
       if (!suspectsToo && slot.isSuspect(nowMs) && policy.uses(Mechanism.SUSPICION)) {
--- a/core/src/main/java/io/moorstage/core/transparent/TargetPools.java
+++ b/core/src/main/java/io/moorstage/core/transparent/TargetPools.java
@@ -41,7 +41,7 @@
       if (slot == null) {
         slot = new TargetSlot(record, nowMs);
       } else {
-        slot.update(record);
+        slot.update(record, nowMs);
       }
       slot.evacuate(state.evacuations().isInForce(record.zone()), nowMs);
       slots.put(record.id(), slot);
--- a/core/src/main/java/io/moorstage/core/transparent/TargetSlot.java
+++ b/core/src/main/java/io/moorstage/core/transparent/TargetSlot.java
@@ -20,6 +20,7 @@
   private volatile long suspectUntilMs = NEVER;
   private volatile int silences;
   private volatile long coldUntilMs;
+  private volatile long refusesUntilMs = NEVER;
   private volatile int reportedBusy;
   private volatile double averageBusy;
   private final AtomicInteger placedSinceReport = new AtomicInteger();
@@ -39,7 +40,10 @@
     return record;
   }
 
-  void update(TargetRecord newer) {
+  void update(TargetRecord newer, long nowMs) {
+    if (newer.slowStartMs() > record.slowStartMs()) {
+      coldUntilMs = nowMs + newer.slowStartMs();
+    }
     record = newer;
   }
 
@@ -120,6 +124,16 @@
     suspectUntilMs = Math.max(suspectUntilMs, nowMs + suspicionMs);
   }
 
+  /** The target is cold and has got as many new flows as it bears. */
+  void refuse(int pauseMs, long nowMs) {
+    refusesUntilMs = nowMs + pauseMs;
+  }
+
+  /** Returns whether the target was cold a moment ago and bore no further flow. */
+  boolean isRefusing(long nowMs) {
+    return nowMs < refusesUntilMs;
+  }
+
   void trust() {
     if (silences > 0) {
       silences = 0;
--- a/core/src/test/java/io/moorstage/core/transparent/Fleet.java
+++ b/core/src/test/java/io/moorstage/core/transparent/Fleet.java
@@ -3,6 +3,7 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 
 /** Flows, segments and states for tests, and actions that are written down. */
 final class Fleet {
@@ -69,7 +70,7 @@
         new ForwardingRoute(SERVICE_ADDRESS, PORT, 3_000, List.of(new WeightedService(SERVICE, 1)));
     return FleetState.of(
         revision,
-        new ForwardingConfiguration(version, 60_000, List.of(route)),
+        new ForwardingConfiguration(version, 60_000, List.of(route), Map.of()),
         List.of(targets),
         Evacuations.NONE);
   }
@@ -97,8 +98,7 @@
     final List<Integer> caughtUpFrom = new ArrayList<>();
 
     @Override
-    public void forward(
-        int agentAddress, String service, long version, int timeoutMs, ByteBuffer datagram) {
+    public void forward(int agentAddress, ForwardTerms terms, ByteBuffer datagram) {
       forwardedTo.add(agentAddress);
     }
 
--- a/core/src/test/java/io/moorstage/core/transparent/FlowAgentTest.java
+++ b/core/src/test/java/io/moorstage/core/transparent/FlowAgentTest.java
@@ -8,11 +8,14 @@
   private static final int CAPACITY = 2;
   private static final int SPARE = 2;
   private static final int TIMEOUT_MS = 3_000;
+  private static final int COLD_START_MS = 2_000;
 
   private final Fleet.AgentRecord actions = new Fleet.AgentRecord();
   private final FlowAgent agent =
       new FlowAgent(Fleet.POLICY, Fleet.SERVICE, actions, DecisionLog.NONE, 0);
   private long nowMs = 1_000;
+  private int coldOpeningsPerS;
+  private int nextPort = 10_000;
 
   private void forwarded(Segment segment) {
     forwarded(segment, Fleet.SERVICE, 1);
@@ -23,8 +26,13 @@
   }
 
   private void forwarded(Segment segment, String service, long version, int timeoutMs) {
-    agent.onForwarded(
-        Fleet.BALANCER, service, version, timeoutMs, segment, Fleet.bytes(segment), nowMs);
+    ForwardTerms terms = new ForwardTerms(service, version, timeoutMs, coldOpeningsPerS);
+    agent.onForwarded(Fleet.BALANCER, terms, segment, Fleet.bytes(segment), nowMs);
+  }
+
+  private boolean told(TargetPhase phase, boolean evacuated, long revision) {
+    return agent.onTarget(
+        new TargetNews(revision, phase, evacuated, CAPACITY, 5, false, 0, COLD_START_MS), nowMs);
   }
 
   private void fromTarget(Segment segment) {
@@ -58,7 +66,7 @@
   @Test
   void leavingTargetGetsNoOpeningAndKeepsItsFlows() {
     openFlow(1);
-    agent.onPhase(TargetPhase.DRAINING, 9);
+    told(TargetPhase.DRAINING, false, 9);
     forwarded(Fleet.open(Fleet.flow(2), 0));
     forwarded(Fleet.data(Fleet.flow(1), 101, 10));
     assertThat(actions.delivered).hasSize(2);
@@ -69,24 +77,96 @@
   @Test
   void targetOfAnEvacuatedZoneGetsNoOpeningWhateverABalancerSendsAndKeepsItsFlows() {
     openFlow(1);
-    assertThat(agent.onEvacuation(true, 9)).isTrue();
+    assertThat(told(TargetPhase.READY, true, 9)).isTrue();
     forwarded(Fleet.open(Fleet.flow(2), 0));
     forwarded(Fleet.data(Fleet.flow(1), 101, 10));
     assertThat(actions.delivered).hasSize(2);
     assertThat(actions.givenBack).containsExactly(ReturnReason.EVACUATED);
 
-    assertThat(agent.onEvacuation(false, 8)).isFalse();
+    assertThat(told(TargetPhase.READY, false, 8)).isFalse();
     forwarded(Fleet.open(Fleet.flow(3), 0));
     assertThat(actions.delivered).hasSize(2);
-    assertThat(agent.onEvacuation(false, 12)).isTrue();
+    assertThat(told(TargetPhase.READY, false, 12)).isTrue();
     forwarded(Fleet.open(Fleet.flow(3), 0));
     assertThat(actions.delivered).hasSize(3);
   }
 
+  private int admitted(int openings) {
+    int before = actions.delivered.size();
+    for (int i = 0; i < openings; i++) {
+      forwarded(Fleet.open(Fleet.flow(nextPort++), 0));
+    }
+    return actions.delivered.size() - before;
+  }
+
+  @Test
+  void coldTargetGetsNoMoreOpeningsInAnySecondThanItBears() {
+    coldOpeningsPerS = 10;
+    told(TargetPhase.READY, false, 1);
+    assertThat(admitted(6)).isEqualTo(6);
+    nowMs += 900;
+    assertThat(admitted(6)).isEqualTo(4);
+    assertThat(actions.givenBack).containsExactly(ReturnReason.COLD, ReturnReason.COLD);
+    nowMs += 200;
+    // Six of the second that now ends have left the window, four have not.
+    assertThat(admitted(20)).isEqualTo(6);
+  }
+
+  @Test
+  void targetThatIsWarmGetsAllOpenings() {
+    coldOpeningsPerS = 10;
+    told(TargetPhase.READY, false, 1);
+    nowMs += COLD_START_MS + 1;
+    assertThat(admitted(50)).isEqualTo(50);
+  }
+
+  @Test
+  void targetCountsAsColdAgainAfterAnEvacuationAndAfterAnotherStart() {
+    coldOpeningsPerS = 10;
+    told(TargetPhase.READY, false, 1);
+    nowMs += 10_000;
+    told(TargetPhase.READY, true, 2);
+    nowMs += 10_000;
+    told(TargetPhase.READY, false, 3);
+    assertThat(admitted(50)).isEqualTo(10);
+
+    nowMs += 10_000;
+    assertThat(admitted(50)).isEqualTo(50);
+    nowMs += 10_000;
+    agent.onTarget(
+        new TargetNews(4, TargetPhase.READY, false, CAPACITY, 7, false, 0, COLD_START_MS), nowMs);
+    assertThat(admitted(50)).isEqualTo(10);
+  }
+
+  @Test
+  void recordThatTurnsColdMakesItsTargetCold() {
+    coldOpeningsPerS = 10;
+    told(TargetPhase.READY, false, 1);
+    nowMs += 10_000;
+    agent.onTarget(
+        new TargetNews(4, TargetPhase.READY, false, CAPACITY, 5, false, 1_500, COLD_START_MS),
+        nowMs);
+    assertThat(admitted(50)).isEqualTo(10);
+  }
+
+  // It may have been restarted beside a target that has just started.
+  @Test
+  void agentThatNobodyHasToldAnythingTakesItsTargetForCold() {
+    coldOpeningsPerS = 10;
+    nowMs += 1_000_000;
+    assertThat(admitted(50)).isEqualTo(10);
+  }
+
+  @Test
+  void coldTargetOfAServiceWithoutALimitGetsAllOpenings() {
+    told(TargetPhase.READY, false, 1);
+    assertThat(admitted(50)).isEqualTo(50);
+  }
+
   @Test
   void olderWordOfTheTargetsPhaseIsNotTaken() {
-    agent.onPhase(TargetPhase.DRAINING, 9);
-    assertThat(agent.onPhase(TargetPhase.READY, 8)).isFalse();
+    told(TargetPhase.DRAINING, false, 9);
+    assertThat(told(TargetPhase.READY, false, 8)).isFalse();
     assertThat(agent.phase()).isEqualTo(TargetPhase.DRAINING);
   }
 
@@ -156,7 +236,7 @@
   }
 
   private void fillTarget() {
-    agent.onCapacity(CAPACITY);
+    told(TargetPhase.READY, false, 1);
     for (int port = 1; port <= CAPACITY + SPARE; port++) {
       openFlow(port);
       forwarded(Fleet.data(Fleet.flow(port), 101, 10));
@@ -296,7 +376,7 @@
 
   @Test
   void repetitionOfAnAnsweredRequestDoesNotCountAsInProgress() {
-    agent.onCapacity(CAPACITY);
+    told(TargetPhase.READY, false, 1);
     openFlow(1);
     Segment data = Fleet.data(Fleet.flow(1), 101, 10);
     forwarded(data);
@@ -317,7 +397,7 @@
 
   @Test
   void unknownFlowIsUnlikelyAtATargetThatTookOverWhileTheAgentRuns() {
-    agent.onTargetListed(5, true, 9);
+    agent.onTarget(new TargetNews(9, TargetPhase.READY, false, CAPACITY, 5, true, 0, 0), nowMs);
     assertThat(agent.onAsked(Fleet.flow(1), nowMs)).isEqualTo(FlowKnowledge.UNLIKELY);
     openFlow(2);
     assertThat(agent.onAsked(Fleet.flow(2), nowMs)).isEqualTo(FlowKnowledge.HELD);
@@ -325,7 +405,7 @@
 
   @Test
   void targetThatTurnsOutToHoldAnUnknownFlowIsNoLongerTakenForNew() {
-    agent.onTargetListed(5, true, 9);
+    agent.onTarget(new TargetNews(9, TargetPhase.READY, false, CAPACITY, 5, true, 0, 0), nowMs);
     fromTarget(Fleet.data(Fleet.flow(3), 2, 100));
     assertThat(agent.onAsked(Fleet.flow(1), nowMs)).isEqualTo(FlowKnowledge.UNKNOWN);
   }
--- a/core/src/test/java/io/moorstage/core/transparent/FlowBalancerTest.java
+++ b/core/src/test/java/io/moorstage/core/transparent/FlowBalancerTest.java
@@ -136,6 +136,34 @@
     assertThat(actions.last()).isEqualTo(B);
   }
 
+  @Test
+  void coldTargetThatHasRefusedAFlowIsLeftOutForAMomentAndOthersAreTaken() {
+    takeState(Fleet.state(5, Fleet.targetIn(Fleet.ZONE, A), Fleet.targetIn("other", B)));
+    Segment open = Fleet.open(Fleet.flow(1), 0);
+    client(open);
+    givenBack(A, ReturnReason.COLD, 1, open);
+    for (int port = 2; port <= 20; port++) {
+      client(Fleet.open(Fleet.flow(port), 0));
+      assertThat(actions.last()).isEqualTo(B);
+    }
+    nowMs += 1_000;
+    hear(A, B);
+    client(Fleet.open(Fleet.flow(21), 0));
+    assertThat(actions.last()).isEqualTo(A);
+  }
+
+  @Test
+  void newFlowIsResetAtOnceWhenAllTargetsAreColdAndBearNoMore() {
+    takeState(Fleet.state(5, Fleet.targetIn(Fleet.ZONE, A)));
+    Segment open = Fleet.open(Fleet.flow(1), 0);
+    client(open);
+    givenBack(A, ReturnReason.COLD, 1, open);
+    assertThat(actions.reset).containsExactly(Fleet.flow(1));
+    client(Fleet.open(Fleet.flow(2), 0));
+    assertThat(actions.reset).containsExactly(Fleet.flow(1), Fleet.flow(2));
+    assertThat(actions.forwardedTo).containsExactly(A);
+  }
+
   @Test
   void refusedFlowGoesToAnotherTarget() {
     takeState(threeTargets());
--- a/forwarding/src/main/java/io/moorstage/forwarding/AgentDaemon.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/AgentDaemon.java
@@ -9,6 +9,7 @@
 import io.moorstage.core.transparent.ReturnReason;
 import io.moorstage.core.transparent.Segment;
 import io.moorstage.core.transparent.SegmentCodec;
+import io.moorstage.core.transparent.TargetNews;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
@@ -252,14 +253,7 @@
       return;
     }
     balancers.used(balancer, nowMs);
-    agent.onForwarded(
-        balancer,
-        forward.service(),
-        forward.configurationVersion(),
-        forward.timeoutMs(),
-        segment,
-        forward.datagram(),
-        nowMs);
+    agent.onForwarded(balancer, forward.terms(), segment, forward.datagram(), nowMs);
   }
 
   // Another agent was told of this one as a seed, and looks for balancers.
@@ -290,30 +284,19 @@
     for (int address : beacon.balancers()) {
       balancers.told(address, nowMs);
     }
-    if (beacon.phase() != null && agent.onPhase(beacon.phase(), beacon.revision())) {
+    TargetNews target = beacon.target();
+    if (target != null && agent.onTarget(target, nowMs)) {
       log.event(
           "target-phase",
           "phase",
-          beacon.phase().name().toLowerCase(Locale.ROOT),
+          target.phase().name().toLowerCase(Locale.ROOT),
+          "zone-evacuated",
+          target.evacuated(),
           "revision",
-          beacon.revision(),
+          target.revision(),
           "told-by",
           Endpoint.of(balancer, 0).host());
     }
-    if (beacon.phase() != null && agent.onEvacuation(beacon.evacuated(), beacon.revision())) {
-      log.event(
-          "target-evacuation",
-          "in-force",
-          beacon.evacuated(),
-          "revision",
-          beacon.revision(),
-          "told-by",
-          Endpoint.of(balancer, 0).host());
-    }
-    agent.onTargetListed(beacon.targetStart(), beacon.tookOver(), beacon.revision());
-    if (beacon.capacity() > 0) {
-      agent.onCapacity(beacon.capacity());
-    }
     noteWantedReports(balancer, beacon.reportIntervalMs());
     if (appeared) {
       log.event("balancer-heard", "peer", Endpoint.of(balancer, 0).host());
--- a/forwarding/src/main/java/io/moorstage/forwarding/BalancerBeacons.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/BalancerBeacons.java
@@ -1,7 +1,7 @@
 package io.moorstage.forwarding;
 
 import io.moorstage.core.transparent.FleetState;
-import io.moorstage.core.transparent.TargetPhase;
+import io.moorstage.core.transparent.TargetNews;
 import io.moorstage.core.transparent.TargetRecord;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
@@ -152,19 +152,13 @@
     }
     agents = agents.of(state);
     TargetRecord target = agents.targetAt(address);
-    TargetPhase phase = target == null ? null : target.phase();
-    int capacity = target == null ? 0 : target.capacity();
     String receiversZone = target == null ? zone : target.zone();
     out.clear();
     PeerMessageCodec.encode(
         new PeerMessage.BalancerBeacon(
             state.revision(),
             zone,
-            phase,
-            state.evacuations().isInForce(receiversZone),
-            capacity,
-            target == null ? 0 : target.startNumber(),
-            agents.tookOver(address),
+            target == null ? null : newsOf(target, state),
             agents.keepsCopy(address),
             reportIntervalMs,
             confirmedAgeMs.applyAsInt(nowMs),
@@ -174,4 +168,16 @@
     metrics.add(ForwardingCounter.BEACON_BYTES, out.position());
     port.send(out.flip(), peers.get(address));
   }
+
+  private TargetNews newsOf(TargetRecord target, FleetState state) {
+    return new TargetNews(
+        state.revision(),
+        target.phase(),
+        state.evacuations().isInForce(target.zone()),
+        target.capacity(),
+        target.startNumber(),
+        agents.tookOver(target.address()),
+        target.slowStartMs(),
+        state.configuration().coldStartOf(target.service()).durationMs());
+  }
 }
--- a/forwarding/src/main/java/io/moorstage/forwarding/BalancerDaemon.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/BalancerDaemon.java
@@ -7,6 +7,7 @@
 import io.moorstage.core.transparent.FlowBalancer;
 import io.moorstage.core.transparent.FlowId;
 import io.moorstage.core.transparent.FlowKnowledge;
+import io.moorstage.core.transparent.ForwardTerms;
 import io.moorstage.core.transparent.ForwardingPolicy;
 import io.moorstage.core.transparent.Mechanism;
 import io.moorstage.core.transparent.Segment;
@@ -436,9 +437,8 @@
         new FlowQuestions(policy.uses(Mechanism.GATHERED_QUESTIONS) ? TICK_MS : 0, this::sendOut);
 
     @Override
-    public void forward(
-        int agentAddress, String service, long version, int timeoutMs, ByteBuffer datagram) {
-      sendOut(new PeerMessage.Forward(service, version, timeoutMs, datagram), agentAddress);
+    public void forward(int agentAddress, ForwardTerms terms, ByteBuffer datagram) {
+      sendOut(new PeerMessage.Forward(terms, datagram), agentAddress);
     }
 
     private void sendOut(PeerMessage message, int address) {
--- a/forwarding/src/main/java/io/moorstage/forwarding/FleetStateCodec.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/FleetStateCodec.java
@@ -1,5 +1,6 @@
 package io.moorstage.forwarding;
 
+import io.moorstage.core.transparent.ColdStart;
 import io.moorstage.core.transparent.Evacuations;
 import io.moorstage.core.transparent.FleetState;
 import io.moorstage.core.transparent.ForwardingConfiguration;
@@ -14,7 +15,9 @@
 import java.io.DataOutputStream;
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 
 /** The form in which nodes hand each other a {@link FleetState}. */
 public final class FleetStateCodec {
@@ -74,6 +77,12 @@
         out.writeInt(part.weight());
       }
     }
+    out.writeInt(configuration.coldStartsByService().size());
+    for (Map.Entry<String, ColdStart> limited : configuration.coldStartsByService().entrySet()) {
+      out.writeUTF(limited.getKey());
+      out.writeInt(limited.getValue().durationMs());
+      out.writeInt(limited.getValue().openingsPerS());
+    }
   }
 
   private static void writeTarget(TargetRecord target, DataOutputStream out) throws IOException {
@@ -148,7 +157,16 @@
       }
       routes.add(new ForwardingRoute(address, port, timeoutMs, services));
     }
-    return new ForwardingConfiguration(version, idleTimeoutMs, routes);
+    return new ForwardingConfiguration(version, idleTimeoutMs, routes, readColdStarts(in));
+  }
+
+  private static Map<String, ColdStart> readColdStarts(DataInputStream in) throws IOException {
+    int count = readCount(in);
+    Map<String, ColdStart> coldStarts = new HashMap<>();
+    for (int i = 0; i < count; i++) {
+      coldStarts.put(in.readUTF(), new ColdStart(in.readInt(), in.readInt()));
+    }
+    return coldStarts;
   }
 
   private static Evacuations readEvacuations(DataInputStream in) throws IOException {
--- a/forwarding/src/main/java/io/moorstage/forwarding/PeerMessage.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/PeerMessage.java
@@ -2,8 +2,9 @@
 
 import io.moorstage.core.transparent.FlowId;
 import io.moorstage.core.transparent.FlowKnowledge;
+import io.moorstage.core.transparent.ForwardTerms;
 import io.moorstage.core.transparent.ReturnReason;
-import io.moorstage.core.transparent.TargetPhase;
+import io.moorstage.core.transparent.TargetNews;
 import java.nio.ByteBuffer;
 import java.util.List;
 import javax.annotation.Nullable;
@@ -14,13 +15,9 @@
   /**
    * A balancer forwards a client's segment to an agent.
    *
-   * @param service the service that the flow belongs to
-   * @param configurationVersion the configuration that the balancer decided by
-   * @param timeoutMs how long a request of the flow's route may take; 0 if not known
    * @param datagram the segment
    */
-  record Forward(String service, long configurationVersion, int timeoutMs, ByteBuffer datagram)
-      implements PeerMessage {}
+  record Forward(ForwardTerms terms, ByteBuffer datagram) implements PeerMessage {}
 
   /**
    * An agent gives a client's segment back.
@@ -60,11 +57,7 @@
    *
    * @param revision the source's revision that the balancer has
    * @param zone the balancer's zone
-   * @param phase how far the receiving agent's target is in its life, or null if not known
-   * @param evacuated whether the zone of this target is evacuated; of no meaning without a phase
-   * @param capacity the requests that this target works on at a time, 0 if not known
-   * @param targetStart names the start of the receiving agent's target, 0 if none is listed
-   * @param tookOver whether the source still lists, as ready, the target before that one
+   * @param target what the balancer knows of the receiving agent's target; null if none is listed
    * @param keepsCopy whether the receiving agent keeps a copy of the state
    * @param reportIntervalMs how often at most the balancer wants to hear of the agent's load
    * @param confirmedAgeMs how long ago the source confirmed the state; negative if the balancer
@@ -74,11 +67,7 @@
   record BalancerBeacon(
       long revision,
       String zone,
-      @Nullable TargetPhase phase,
-      boolean evacuated,
-      int capacity,
-      long targetStart,
-      boolean tookOver,
+      @Nullable TargetNews target,
       boolean keepsCopy,
       int reportIntervalMs,
       int confirmedAgeMs,
--- a/forwarding/src/main/java/io/moorstage/forwarding/PeerMessageCodec.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/PeerMessageCodec.java
@@ -2,7 +2,9 @@
 
 import io.moorstage.core.transparent.FlowId;
 import io.moorstage.core.transparent.FlowKnowledge;
+import io.moorstage.core.transparent.ForwardTerms;
 import io.moorstage.core.transparent.ReturnReason;
+import io.moorstage.core.transparent.TargetNews;
 import io.moorstage.core.transparent.TargetPhase;
 import java.nio.BufferUnderflowException;
 import java.nio.ByteBuffer;
@@ -44,8 +46,9 @@
   public static void encode(PeerMessage message, ByteBuffer out) {
     if (message instanceof PeerMessage.Forward forward) {
       out.put(FORWARD);
-      putText(forward.service(), out);
-      out.putLong(forward.configurationVersion()).putInt(forward.timeoutMs());
+      putText(forward.terms().service(), out);
+      out.putLong(forward.terms().configurationVersion()).putInt(forward.terms().timeoutMs());
+      out.putInt(forward.terms().coldOpeningsPerS());
       out.put(forward.datagram().duplicate());
     } else if (message instanceof PeerMessage.GiveBack giveBack) {
       out.put(GIVE_BACK).put((byte) giveBack.reason().ordinal());
@@ -64,11 +67,7 @@
     } else if (message instanceof PeerMessage.BalancerBeacon beacon) {
       out.put(BALANCER_BEACON).putLong(beacon.revision());
       putText(beacon.zone(), out);
-      TargetPhase phase = beacon.phase();
-      out.put((byte) (phase == null ? NO_PHASE : phase.ordinal()));
-      putFlag(beacon.evacuated(), out);
-      out.putInt(beacon.capacity()).putLong(beacon.targetStart());
-      putFlag(beacon.tookOver(), out);
+      putTarget(beacon.target(), out);
       putFlag(beacon.keepsCopy(), out);
       out.putInt(beacon.reportIntervalMs()).putInt(beacon.confirmedAgeMs());
       putAddresses(beacon.balancers(), out);
@@ -82,6 +81,18 @@
     }
   }
 
+  private static void putTarget(@Nullable TargetNews target, ByteBuffer out) {
+    out.put((byte) (target == null ? NO_PHASE : target.phase().ordinal()));
+    if (target == null) {
+      return;
+    }
+    out.putLong(target.revision());
+    putFlag(target.evacuated(), out);
+    out.putInt(target.capacity()).putLong(target.startNumber());
+    putFlag(target.tookOver(), out);
+    out.putInt(target.slowStartMs()).putInt(target.coldStartMs());
+  }
+
   private static void putFlag(boolean flag, ByteBuffer out) {
     out.put((byte) (flag ? 1 : 0));
   }
@@ -124,7 +135,8 @@
   private static PeerMessage decodeFields(ByteBuffer in) {
     switch (in.get()) {
       case FORWARD:
-        return new PeerMessage.Forward(getText(in), in.getLong(), in.getInt(), in.slice());
+        ForwardTerms terms = new ForwardTerms(getText(in), in.getLong(), in.getInt(), in.getInt());
+        return new PeerMessage.Forward(terms, in.slice());
       case GIVE_BACK:
         ReturnReason reason = ReturnReason.ofNumber(in.get());
         long version = in.getLong();
@@ -181,19 +193,21 @@
     if (phaseNumber != NO_PHASE && phaseNumber >= phases.length) {
       return null;
     }
-    TargetPhase phase = phaseNumber == NO_PHASE ? null : phases[phaseNumber];
+    TargetNews target = phaseNumber == NO_PHASE ? null : getTarget(phases[phaseNumber], in);
     return new PeerMessage.BalancerBeacon(
-        revision,
-        zone,
+        revision, zone, target, in.get() != 0, in.getInt(), in.getInt(), getAddresses(in));
+  }
+
+  private static TargetNews getTarget(TargetPhase phase, ByteBuffer in) {
+    return new TargetNews(
+        in.getLong(),
         phase,
         in.get() != 0,
         in.getInt(),
         in.getLong(),
         in.get() != 0,
-        in.get() != 0,
-        in.getInt(),
         in.getInt(),
-        getAddresses(in));
+        in.getInt());
   }
 
   private static String getText(ByteBuffer in) {
--- a/forwarding/src/main/java/io/moorstage/forwarding/StateChangeLog.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/StateChangeLog.java
@@ -45,7 +45,7 @@
     return shortestMs;
   }
 
-  /** Logs targets that are new or in another phase; returns them. */
+  /** Logs targets that are new, in another phase or cold again; returns them. */
   List<TargetRecord> logTargets(FleetState before, FleetState after) {
     List<TargetRecord> changed = new ArrayList<>(0);
     for (TargetRecord target : after.targets()) {
@@ -53,6 +53,16 @@
       if (known == null || known.phase() != target.phase()) {
         changed.add(target);
         logTarget(target);
+      } else if (known.slowStartMs() < target.slowStartMs()) {
+        changed.add(target);
+        log.event(
+            "target-cold",
+            "target",
+            target.id(),
+            "slow-ms",
+            target.slowStartMs(),
+            "revision",
+            target.revision());
       }
     }
     return changed;
--- a/forwarding/src/test/java/io/moorstage/forwarding/FirstStateReaderTest.java
+++ b/forwarding/src/test/java/io/moorstage/forwarding/FirstStateReaderTest.java
@@ -7,6 +7,7 @@
 import io.moorstage.core.transparent.ForwardingConfiguration;
 import io.moorstage.core.transparent.StateChanges;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -28,7 +29,10 @@
           throw new StateSourceException(StateSourceFailure.REFUSED, "status 503");
         }
         return FleetState.of(
-            7, new ForwardingConfiguration(version, 1_000, List.of()), List.of(), Evacuations.NONE);
+            7,
+            new ForwardingConfiguration(version, 1_000, List.of(), Map.of()),
+            List.of(),
+            Evacuations.NONE);
       }
 
       @Override
--- a/forwarding/src/test/java/io/moorstage/forwarding/PeerMessageCodecTest.java
+++ b/forwarding/src/test/java/io/moorstage/forwarding/PeerMessageCodecTest.java
@@ -4,7 +4,9 @@
 
 import io.moorstage.core.transparent.FlowId;
 import io.moorstage.core.transparent.FlowKnowledge;
+import io.moorstage.core.transparent.ForwardTerms;
 import io.moorstage.core.transparent.ReturnReason;
+import io.moorstage.core.transparent.TargetNews;
 import io.moorstage.core.transparent.TargetPhase;
 import java.nio.ByteBuffer;
 import java.util.Collections;
@@ -27,12 +29,11 @@
   @Test
   void forwardedSegmentComesThroughUnchanged() {
     byte[] segment = {1, 2, 3, 4};
+    ForwardTerms terms = new ForwardTerms("tables", 42, 900, 12);
     PeerMessage.Forward read =
         (PeerMessage.Forward)
-            throughTheWire(new PeerMessage.Forward("tables", 42, 900, ByteBuffer.wrap(segment)));
-    assertThat(read.service()).isEqualTo("tables");
-    assertThat(read.configurationVersion()).isEqualTo(42);
-    assertThat(read.timeoutMs()).isEqualTo(900);
+            throughTheWire(new PeerMessage.Forward(terms, ByteBuffer.wrap(segment)));
+    assertThat(read.terms()).isEqualTo(terms);
     assertThat(read.datagram()).isEqualTo(ByteBuffer.wrap(segment));
   }
 
@@ -79,25 +80,13 @@
 
   @Test
   void beaconsComeThrough() {
+    TargetNews target = new TargetNews(8, TargetPhase.DRAINING, true, 5, 77, true, 1_500, 2_000);
     PeerMessage.BalancerBeacon read =
         (PeerMessage.BalancerBeacon)
             throughTheWire(
                 new PeerMessage.BalancerBeacon(
-                    8,
-                    "lac",
-                    TargetPhase.DRAINING,
-                    true,
-                    5,
-                    77,
-                    true,
-                    false,
-                    140,
-                    120,
-                    new int[] {1, 2}));
-    assertThat(read.phase()).isEqualTo(TargetPhase.DRAINING);
-    assertThat(read.evacuated()).isTrue();
-    assertThat(read.targetStart()).isEqualTo(77);
-    assertThat(read.tookOver()).isTrue();
+                    8, "lac", target, false, 140, 120, new int[] {1, 2}));
+    assertThat(read.target()).isEqualTo(target);
     assertThat(read.keepsCopy()).isFalse();
     assertThat(read.reportIntervalMs()).isEqualTo(140);
     assertThat(read.confirmedAgeMs()).isEqualTo(120);
--- a/forwarding/src/test/java/io/moorstage/forwarding/StateKeeperTest.java
+++ b/forwarding/src/test/java/io/moorstage/forwarding/StateKeeperTest.java
@@ -22,7 +22,7 @@
   private static FleetState stateAt(long revision, TargetRecord... targets) {
     return FleetState.of(
         revision,
-        new ForwardingConfiguration(1, 1_000, List.of()),
+        new ForwardingConfiguration(1, 1_000, List.of(), Map.of()),
         List.of(targets),
         Evacuations.NONE);
   }
--- a/lab/src/main/java/io/moorstage/lab/bench/TransparentFlows.java
+++ b/lab/src/main/java/io/moorstage/lab/bench/TransparentFlows.java
@@ -8,6 +8,7 @@
 import io.moorstage.core.transparent.FlowAgent;
 import io.moorstage.core.transparent.FlowBalancer;
 import io.moorstage.core.transparent.FlowId;
+import io.moorstage.core.transparent.ForwardTerms;
 import io.moorstage.core.transparent.ForwardingConfiguration;
 import io.moorstage.core.transparent.ForwardingPolicy;
 import io.moorstage.core.transparent.ForwardingRoute;
@@ -19,6 +20,7 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 
 /** A balancer and an agent that hold many open transparent flows, for measurements. */
 final class TransparentFlows {
@@ -31,6 +33,7 @@
   private static final int SERVICE_ADDRESS = 0xC6120001;
   private static final int SERVICE_PORT = 443;
   private static final int TIMEOUT_MS = 2_500;
+  private static final ForwardTerms TERMS = new ForwardTerms(SERVICE, 1, TIMEOUT_MS, 0);
   private static final int SEGMENT_BYTES = 132;
   private static final int DATA_BYTES = 100;
 
@@ -74,9 +77,9 @@
     ByteBuffer datagram = datagram();
     for (int number = 0; number < flows; number++) {
       FlowId flow = flow(number);
-      agent.onForwarded(BALANCER, SERVICE, 1, TIMEOUT_MS, opening(flow), datagram, 0);
+      agent.onForwarded(BALANCER, TERMS, opening(flow), datagram, 0);
       agent.onTargetSegment(answer(flow, Segment.Kind.OPEN_ACCEPTED, 0), datagram, 0);
-      agent.onForwarded(BALANCER, SERVICE, 1, TIMEOUT_MS, data(flow), datagram, 0);
+      agent.onForwarded(BALANCER, TERMS, data(flow), datagram, 0);
       agent.onTargetSegment(answer(flow, Segment.Kind.DATA, DATA_BYTES), datagram, 0);
     }
     return agent;
@@ -101,13 +104,15 @@
         new ForwardingRoute(
             SERVICE_ADDRESS, SERVICE_PORT, TIMEOUT_MS, List.of(new WeightedService(SERVICE, 1)));
     return FleetState.of(
-        1, new ForwardingConfiguration(1, 60_000, List.of(route)), targets, Evacuations.NONE);
+        1,
+        new ForwardingConfiguration(1, 60_000, List.of(route), Map.of()),
+        targets,
+        Evacuations.NONE);
   }
 
   private static final class NoBalancerActions implements BalancerActions {
     @Override
-    public void forward(
-        int agentAddress, String service, long version, int timeoutMs, ByteBuffer datagram) {}
+    public void forward(int agentAddress, ForwardTerms terms, ByteBuffer datagram) {}
 
     @Override
     public void ask(int peerAddress, FlowId flow) {}
