Close connections that fall silent within a request or answer, and answer other callers meanwhile

Cause: each HTTP server of ours ran on one thread without a time-out, so a caller that fell silent within its request, or that did not read its answer, kept readiness, state or metrics from all others for good.

Change: up to three threads, and the JDK server's own limits of 2 s for a request and an answer; a silent connection is closed within 3 s.

--- a/forwarding/src/main/java/io/moorstage/forwarding/HttpEndpoint.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/HttpEndpoint.java
@@ -5,9 +5,36 @@
 import io.moorstage.core.model.Endpoint;
 import java.io.IOException;
 import java.io.OutputStream;
+import java.util.concurrent.Executor;
+import java.util.concurrent.SynchronousQueue;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
 
-/** A small HTTP server of this process: one path, one answer, on one thread. */
+/**
+ * A small HTTP server of this process: one path, one answer, on a few threads.
+ *
+ * <p>Connections may fall silent for good without a reset. One that does so within a request, or
+ * that does not read its answer, holds a thread until it is closed by the time-outs.
+ */
 final class HttpEndpoint {
+  /** So many silent callers hold nobody up; a node is called by the platform and a few peers. */
+  static final int MAX_THREADS = 3;
+
+  /** Idle threads end: most calls come seconds apart. */
+  private static final int KEEP_THREAD_S = 10;
+
+  /**
+   * The longest that a request or an answer may take. A state of 90 KB takes 75 ms at 10 Mbit/s;
+   * with the server's own clock of 1 s, a silent connection is closed within 3 s.
+   */
+  private static final String MAX_S = "2";
+
+  static {
+    // The JDK's server reads these once, when its first instance is made; they have no setter.
+    System.setProperty("sun.net.httpserver.maxReqTime", MAX_S);
+    System.setProperty("sun.net.httpserver.maxRspTime", MAX_S);
+  }
+
   private static final int OK = 200;
   private static final int UNAVAILABLE = 503;
   private static final int BACKLOG = 64;
@@ -33,10 +60,27 @@
     HttpServer server =
         HttpServer.create(UdpPort.socketAddress(endpoint.ipv4(), endpoint.port()), BACKLOG);
     server.createContext(path, exchange -> answer(exchange, content));
+    server.setExecutor(threads(path));
     server.start();
     return new HttpEndpoint(server);
   }
 
+  // With all threads busy, the server's own thread answers, and takes no call meanwhile.
+  private static Executor threads(String path) {
+    return new ThreadPoolExecutor(
+        0,
+        MAX_THREADS,
+        KEEP_THREAD_S,
+        TimeUnit.SECONDS,
+        new SynchronousQueue<>(),
+        task -> {
+          Thread thread = new Thread(task, "http-" + path);
+          thread.setDaemon(true);
+          return thread;
+        },
+        new ThreadPoolExecutor.CallerRunsPolicy());
+  }
+
   private static void answer(HttpExchange exchange, Content content) throws IOException {
     byte[] body = content.body(exchange.getRequestURI().getRawQuery());
     if (body == null || body.length == 0) {
--- /dev/null
+++ b/forwarding/src/test/java/io/moorstage/forwarding/HttpEndpointTest.java
@@ -0,0 +1,94 @@
+package io.moorstage.forwarding;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.moorstage.core.model.Endpoint;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.HttpURLConnection;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.URL;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Connections may fall silent for good without a reset, in the middle of a request or answer. */
+class HttpEndpointTest {
+  private static final int LOOPBACK = 0x7F000001;
+  private static final int PATIENCE_MS = 20_000;
+
+  /** More than the buffers of a connection hold. */
+  private static final int LARGE_BYTES = 24 << 20;
+
+  private final List<Socket> silent = new ArrayList<>();
+  private HttpEndpoint endpoint;
+  private int port;
+
+  @BeforeEach
+  void start() throws IOException {
+    try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      port = free.getLocalPort();
+    }
+    byte[] large = new byte[LARGE_BYTES];
+    byte[] small = {1};
+    endpoint =
+        HttpEndpoint.start(
+            Endpoint.of(LOOPBACK, port), "/", query -> "large".equals(query) ? large : small);
+  }
+
+  @AfterEach
+  void stop() throws IOException {
+    for (Socket socket : silent) {
+      socket.close();
+    }
+    endpoint.stop();
+  }
+
+  private Socket send(String text) throws IOException {
+    Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
+    silent.add(socket);
+    socket.setSoTimeout(PATIENCE_MS);
+    OutputStream out = socket.getOutputStream();
+    out.write(text.getBytes(StandardCharsets.US_ASCII));
+    out.flush();
+    return socket;
+  }
+
+  private void assertAnswers() throws IOException {
+    HttpURLConnection call =
+        (HttpURLConnection) new URL("http://127.0.0.1:" + port + "/").openConnection();
+    call.setConnectTimeout(PATIENCE_MS);
+    call.setReadTimeout(PATIENCE_MS);
+    try (InputStream in = call.getInputStream()) {
+      assertThat(in.readAllBytes()).isEqualTo(new byte[] {1});
+    }
+  }
+
+  @Test
+  void callersThatFallSilentWithinTheirRequestHoldNobodyUp() throws IOException {
+    for (int i = 0; i < 2 * HttpEndpoint.MAX_THREADS; i++) {
+      send("GET / HTTP/1.1\r\nHo");
+    }
+    assertAnswers();
+  }
+
+  @Test
+  void callersThatDoNotReadTheirAnswerHoldNobodyUp() throws IOException {
+    for (int i = 0; i < 2 * HttpEndpoint.MAX_THREADS; i++) {
+      send("GET /?large HTTP/1.1\r\nHost: a\r\n\r\n");
+    }
+    assertAnswers();
+  }
+
+  @Test
+  void connectionThatFallsSilentWithinARequestIsClosed() throws IOException {
+    Socket socket = send("GET / HTTP/1.1\r\nHo");
+    assertThat(socket.getInputStream().read()).isEqualTo(-1);
+  }
+}
