Check a silent target by a connection: reset the flows of one that has ended, and wait for no agent that stops after it

Change: an agent whose target owes an answer for longer than usual (four mean answers, 30 ms at least) opens a connection to the target's port. Two refusals mean that no process has the port: openings go elsewhere at once, requests in progress are reset, other flows with their next segment, questions are answered in the negative. An agent that stops checks once more and tells; balancers then neither ask it nor wait for it.

--- a/core/src/main/java/io/moorstage/core/transparent/AgentActions.java
+++ b/core/src/main/java/io/moorstage/core/transparent/AgentActions.java
@@ -15,6 +15,9 @@
   void giveBack(
       int balancerAddress, ReturnReason reason, long configurationVersion, ByteBuffer datagram);
 
+  /** Checks whether the target's process takes connections; {@link FlowAgent#onTargetCheck}. */
+  void checkTarget();
+
   /** Sends a reset to a flow's client. */
   void reset(FlowId flow, int sequence);
 }
--- a/core/src/main/java/io/moorstage/core/transparent/AgentDirectory.java
+++ b/core/src/main/java/io/moorstage/core/transparent/AgentDirectory.java
@@ -25,6 +25,9 @@
   /** For each agent that has not been heard from since it was asked: when that was. */
   private final Map<Integer, Long> unansweredSinceMs = new HashMap<>();
 
+  /** For each agent that has said last that its target's process has ended: since when. */
+  private final Map<Integer, Long> endedSinceMs = new HashMap<>();
+
   /** An agent that has sent a beacon, whether or not the source lists its target. */
   record HeardAgent(String service, TargetSlot slot, long heardAtMs) {}
 
@@ -33,18 +36,34 @@
   }
 
   /** Notes a beacon; returns whether the agent was silent or unknown before. */
-  boolean hear(int agentAddress, String service, String zone, boolean stopping, long nowMs) {
-    HeardAgent known = heardAgents.get(agentAddress);
-    boolean same = known != null && known.service().equals(service);
-    TargetSlot slot = same ? known.slot() : unlistedSlot(agentAddress, service, zone, nowMs);
-    boolean appeared = !isHeard(agentAddress, nowMs);
-    heardAgents.put(agentAddress, new HeardAgent(service, slot, stopping ? NEVER : nowMs));
-    unansweredSinceMs.remove(agentAddress);
-    if (stopping) {
+  boolean hear(AgentNews news, long nowMs) {
+    int address = news.address();
+    HeardAgent known = heardAgents.get(address);
+    boolean same = known != null && known.service().equals(news.service());
+    TargetSlot slot =
+        same ? known.slot() : unlistedSlot(address, news.service(), news.zone(), nowMs);
+    boolean appeared = !isHeard(address, nowMs);
+    long heardAtMs = news.stopping() ? NEVER : nowMs;
+    heardAgents.put(address, new HeardAgent(news.service(), slot, heardAtMs));
+    unansweredSinceMs.remove(address);
+    if (news.targetEnded()) {
+      endedSinceMs.putIfAbsent(address, nowMs);
+    } else {
+      endedSinceMs.remove(address);
+    }
+    if (news.stopping()) {
       // It counts as away unless it comes back soon, as after a restart.
-      asked(agentAddress, nowMs);
+      asked(address, nowMs);
     }
-    return appeared && !stopping;
+    return appeared && !news.stopping();
+  }
+
+  /**
+   * Returns whether the agent at an address has said last that its target's process has ended: no
+   * flow is there, and nobody has to be waited for.
+   */
+  boolean hasTargetEnded(int agentAddress) {
+    return endedSinceMs.containsKey(agentAddress);
   }
 
   private static TargetSlot unlistedSlot(
@@ -114,6 +133,7 @@
   void sweep(long nowMs) {
     int memoryMs = policy.goneMemoryMs();
     heardAgents.values().removeIf(agent -> nowMs - agent.heardAtMs() > memoryMs);
+    endedSinceMs.values().removeIf(sinceMs -> nowMs - sinceMs > memoryMs);
     unansweredSinceMs.values().removeIf(sinceMs -> nowMs - sinceMs > memoryMs);
   }
 }
--- a/core/src/main/java/io/moorstage/core/transparent/AgentFlow.java
+++ b/core/src/main/java/io/moorstage/core/transparent/AgentFlow.java
@@ -38,6 +38,9 @@
 
   boolean clientSequenceKnown;
 
+  /** The sequence number up to which the client has the target's data: a reset has to be near. */
+  int acknowledged;
+
   /** Whether the target has sent data since the agent knows the flow. */
   boolean answered;
 
--- /dev/null
+++ b/core/src/main/java/io/moorstage/core/transparent/AgentNews.java
@@ -0,0 +1,19 @@
+package io.moorstage.core.transparent;
+
+/**
+ * What an agent tells balancers of itself and its target.
+ *
+ * @param address the machine of agent and target
+ * @param service the target's service
+ * @param zone the agent's zone
+ * @param busyFlows flows with a request in progress
+ * @param stopping whether the agent is about to end
+ * @param targetEnded whether the target's process has ended, so that it holds no flow any more
+ */
+public record AgentNews(
+    int address,
+    String service,
+    String zone,
+    int busyFlows,
+    boolean stopping,
+    boolean targetEnded) {}
--- a/core/src/main/java/io/moorstage/core/transparent/FlowAgent.java
+++ b/core/src/main/java/io/moorstage/core/transparent/FlowAgent.java
@@ -28,6 +28,7 @@
   private final OpeningAdmission admission;
   private final RequestGate gate;
   private final TargetStart targetStart = new TargetStart();
+  private final TargetWatch watch = new TargetWatch();
   private int waitingFlows;
 
   /**
@@ -61,7 +62,9 @@
     if (!admission.told(news, nowMs)) {
       return false;
     }
-    targetStart.told(news.startNumber(), news.tookOver());
+    if (targetStart.told(news.startNumber(), news.tookOver())) {
+      watch.heard();
+    }
     gate.setCapacity(news.capacity());
     return phaseBefore != admission.phase() || evacuatedBefore != admission.isEvacuated();
   }
@@ -71,6 +74,32 @@
     return admission.phase();
   }
 
+  /**
+   * Takes the outcome of a check that {@link AgentActions#checkTarget} has asked for.
+   *
+   * @param refused whether the machine has refused the connection: no process has the port
+   */
+  public synchronized void onTargetCheck(boolean refused, long nowMs) {
+    if (!watch.checked(refused, nowMs)) {
+      return;
+    }
+    for (AgentFlow flow : List.copyOf(flows.values())) {
+      if (flow.stage == AgentFlow.Stage.OPENING && flow.openSegment != null) {
+        giveBackOpening(flow, ReturnReason.ENDED, nowMs);
+      } else if (flow.stage != AgentFlow.Stage.OPEN) {
+        // It may be held elsewhere: what the client sends next goes back to the balancer.
+        forget(flow, nowMs);
+      } else if (flow.busy || flow.waiting != null) {
+        resetLost(flow, flow.acknowledged, "target-ended", nowMs);
+      }
+    }
+  }
+
+  /** Returns whether the target's process has ended, as far as the agent knows. */
+  public synchronized boolean hasTargetEnded() {
+    return watch.hasEnded();
+  }
+
   /** Returns how many flows have a request in progress. */
   public synchronized int busyFlows() {
     return gate.inProgress() + waitingFlows;
@@ -94,7 +123,7 @@
     }
     AgentFlow flow = flows.get(segment.flow());
     if (flow == null) {
-      if (!terms.service().equals(service) || knowsAllFlows(nowMs)) {
+      if (!terms.service().equals(service) || knowsAllFlows(nowMs) || watch.hasEnded()) {
         giveBack(balancerAddress, ReturnReason.NOT_HELD, segment, datagram);
         return;
       }
@@ -106,6 +135,11 @@
     }
     flow.balancerAddress = balancerAddress;
     flow.lastUsedMs = nowMs;
+    flow.acknowledged = segment.acknowledged();
+    if (watch.hasEnded()) {
+      resetOrGiveBack(flow, segment, datagram, nowMs);
+      return;
+    }
     if (mustWait(flow, terms.timeoutMs(), segment, datagram, nowMs)) {
       return;
     }
@@ -113,9 +147,22 @@
       setBusy(flow, true, nowMs);
     }
     noteClientEnd(flow, segment, nowMs);
+    if (segment.dataBytes() > 0) {
+      watch.delivered(nowMs);
+    }
     actions.deliver(datagram);
   }
 
+  private void resetOrGiveBack(AgentFlow flow, Segment segment, ByteBuffer datagram, long nowMs) {
+    boolean wasHeld = flow.stage == AgentFlow.Stage.OPEN || flow.stage == AgentFlow.Stage.LOST;
+    if (wasHeld) {
+      resetLost(flow, segment.acknowledged(), "target-ended", nowMs);
+    } else {
+      forget(flow, nowMs);
+      giveBack(flow.balancerAddress, ReturnReason.NOT_HELD, segment, datagram);
+    }
+  }
+
   /**
    * Notes how far the client's data has come; returns whether the segment brings any that is new.
    */
@@ -203,6 +250,7 @@
     if (!flow.closed) {
       setBusy(flow, true, nowMs);
     }
+    watch.delivered(nowMs);
     for (byte[] segment : segments) {
       actions.deliver(ByteBuffer.wrap(segment));
     }
@@ -214,7 +262,7 @@
 
   private void open(
       int balancerAddress, ForwardTerms terms, Segment segment, ByteBuffer datagram, long nowMs) {
-    ReturnReason refusal = admission.refusal(terms, nowMs);
+    ReturnReason refusal = watch.hasEnded() ? ReturnReason.ENDED : admission.refusal(terms, nowMs);
     if (refusal != null) {
       giveBack(balancerAddress, refusal, segment, datagram);
       return;
@@ -236,6 +284,7 @@
     flow.balancerAddress = balancerAddress;
     flow.lastUsedMs = nowMs;
     log.decided(Decision.DELIVERED, flow.id, balancerAddress, "open", -1);
+    watch.delivered(nowMs);
     actions.deliver(datagram);
   }
 
@@ -288,6 +337,7 @@
    * @param datagram the segment; a returned one no longer bears the mark of the return
    */
   public synchronized void onTargetSegment(Segment segment, ByteBuffer datagram, long nowMs) {
+    watch.heard();
     AgentFlow flow = flows.get(segment.flow());
     if (segment.returned()) {
       returned(flow, segment, datagram, nowMs);
@@ -312,6 +362,9 @@
     actions.sendToClient(segment.flow(), datagram);
     if (segment.dataBytes() > 0) {
       flow.answered = true;
+      if (flow.busy) {
+        watch.answered(nowMs - flow.busySinceMs);
+      }
       setBusy(flow, false, nowMs);
     }
     noteTargetEnd(flow, segment, nowMs);
@@ -329,12 +382,7 @@
       return;
     }
     if (flow.stage == AgentFlow.Stage.OPEN || flow.stage == AgentFlow.Stage.LOST) {
-      // The target held the flow and no longer does: nothing can serve it any more.
-      flow.stage = AgentFlow.Stage.LOST;
-      stopWaiting(flow);
-      setBusy(flow, false, nowMs);
-      log.decided(Decision.RESET_LOST, flow.id, flow.balancerAddress, "returned", -1);
-      actions.reset(flow.id, segment.acknowledged());
+      resetLost(flow, segment.acknowledged(), "returned", nowMs);
       return;
     }
     int balancerAddress = flow.balancerAddress;
@@ -349,25 +397,42 @@
     giveBack(balancerAddress, ReturnReason.NOT_HELD, segment, datagram);
   }
 
+  /** The target held the flow and no longer does: nothing can serve it any more. */
+  private void resetLost(AgentFlow flow, int acknowledged, String reason, long nowMs) {
+    flow.stage = AgentFlow.Stage.LOST;
+    stopWaiting(flow);
+    setBusy(flow, false, nowMs);
+    log.decided(Decision.RESET_LOST, flow.id, flow.balancerAddress, reason, -1);
+    actions.reset(flow.id, acknowledged);
+  }
+
   /** Answers a balancer that asks for a flow. */
   public synchronized FlowKnowledge onAsked(FlowId id, long nowMs) {
     AgentFlow flow = flows.get(id);
     if (flow == null || flow.stage == AgentFlow.Stage.OFFERED) {
-      if (knowsAllFlows(nowMs)) {
+      if (knowsAllFlows(nowMs) || watch.hasEnded()) {
         return FlowKnowledge.NOT_HELD;
       }
       return targetStart.wasBesideAgent() ? FlowKnowledge.UNLIKELY : FlowKnowledge.UNKNOWN;
     }
-    if (flow.stage == AgentFlow.Stage.LOST) {
-      return FlowKnowledge.LOST;
+    switch (flow.stage) {
+      case LOST:
+        return FlowKnowledge.LOST;
+      case WITHDRAWN:
+        return FlowKnowledge.NOT_HELD;
+      case OPEN:
+        return watch.hasEnded() ? FlowKnowledge.LOST : FlowKnowledge.HELD;
+      default:
+        return watch.hasEnded() ? FlowKnowledge.NOT_HELD : FlowKnowledge.HELD;
     }
-    boolean withdrawn = flow.stage == AgentFlow.Stage.WITHDRAWN;
-    return withdrawn ? FlowKnowledge.NOT_HELD : FlowKnowledge.HELD;
   }
 
   /** Handles what is due; called every few tens of milliseconds. */
   public synchronized void onTick(long nowMs) {
     giveBackUnanswered(nowMs);
+    if (watch.takeCheck(nowMs)) {
+      actions.checkTarget();
+    }
     int forgetMs = policy.requestForgetMs();
     for (AgentFlow flow = gate.stale(forgetMs, nowMs);
         flow != null;
@@ -387,21 +452,20 @@
       }
       opening.poll();
       if (flow.stage == AgentFlow.Stage.OPENING && flow.openSegment != null) {
-        ByteBuffer datagram = ByteBuffer.wrap(flow.openSegment);
-        flow.stage = AgentFlow.Stage.WITHDRAWN;
-        flow.openSegment = null;
-        log.decided(
-            Decision.GAVE_BACK,
-            flow.id,
-            flow.balancerAddress,
-            ReturnReason.SILENT.name(),
-            nowMs - flow.openedAtMs);
-        actions.giveBack(
-            flow.balancerAddress, ReturnReason.SILENT, admission.configurationVersion(), datagram);
+        giveBackOpening(flow, ReturnReason.SILENT, nowMs);
       }
     }
   }
 
+  private void giveBackOpening(AgentFlow flow, ReturnReason reason, long nowMs) {
+    ByteBuffer datagram = ByteBuffer.wrap(flow.openSegment);
+    flow.stage = AgentFlow.Stage.WITHDRAWN;
+    flow.openSegment = null;
+    long ageMs = nowMs - flow.openedAtMs;
+    log.decided(Decision.GAVE_BACK, flow.id, flow.balancerAddress, reason.name(), ageMs);
+    actions.giveBack(flow.balancerAddress, reason, admission.configurationVersion(), datagram);
+  }
+
   /** Forgets flows that have ended or rested for long; called about once a second. */
   public synchronized void onSweep(long nowMs) {
     for (Iterator<AgentFlow> all = flows.values().iterator(); all.hasNext(); ) {
--- a/core/src/main/java/io/moorstage/core/transparent/FlowBalancer.java
+++ b/core/src/main/java/io/moorstage/core/transparent/FlowBalancer.java
@@ -68,33 +68,28 @@
   /**
    * Takes what an agent tells of its target.
    *
-   * @param service the target's service
-   * @param zone the agent's zone
-   * @param busyFlows flows with a request in progress
-   * @param stopping whether the agent is about to end
    * @return whether the agent was silent or unknown before
    */
-  public synchronized boolean onAgent(
-      int agentAddress, String service, String zone, int busyFlows, boolean stopping, long nowMs) {
-    boolean appeared = tables.agents().hear(agentAddress, service, zone, stopping, nowMs);
-    TargetSlot unlisted = tables.agents().get(agentAddress).slot();
-    report(unlisted, busyFlows, stopping, nowMs);
+  public synchronized boolean onAgent(AgentNews news, long nowMs) {
+    boolean appeared = tables.agents().hear(news, nowMs);
+    TargetSlot unlisted = tables.agents().get(news.address()).slot();
+    report(unlisted, news, nowMs);
     for (TargetSlot slot : tables.slots()) {
-      if (slot.address() == agentAddress && slot.record().phase() != TargetPhase.GONE) {
-        report(slot, busyFlows, stopping, nowMs);
+      if (slot.address() == news.address() && slot.record().phase() != TargetPhase.GONE) {
+        report(slot, news, nowMs);
       }
     }
     if (appeared) {
-      locator.askAgentForLocatingFlows(unlisted, service, nowMs);
+      locator.askAgentForLocatingFlows(unlisted, news.service(), nowMs);
       opener.onTargets(nowMs);
     }
     return appeared;
   }
 
-  private void report(TargetSlot slot, int busyFlows, boolean stopping, long nowMs) {
-    slot.reportBusy(busyFlows, nowMs);
+  private void report(TargetSlot slot, AgentNews news, long nowMs) {
+    slot.reportBusy(news.busyFlows(), nowMs);
     slot.hear(nowMs);
-    if (stopping) {
+    if (news.stopping() || news.targetEnded()) {
       slot.leave(policy.suspicionMs(), nowMs);
     }
   }
--- a/core/src/main/java/io/moorstage/core/transparent/FlowOpener.java
+++ b/core/src/main/java/io/moorstage/core/transparent/FlowOpener.java
@@ -210,7 +210,7 @@
         flow.tried.add(refusing);
       }
       switch (reason) {
-        case SILENT -> refusing.suspect(policy.suspicionMs(), nowMs);
+        case SILENT, ENDED -> refusing.suspect(policy.suspicionMs(), nowMs);
         case COLD -> refusing.refuse(COLD_PAUSE_MS, nowMs);
         case FULL -> {}
         default -> refusing.leave(policy.suspicionMs(), nowMs);
--- a/core/src/main/java/io/moorstage/core/transparent/PossibleHolders.java
+++ b/core/src/main/java/io/moorstage/core/transparent/PossibleHolders.java
@@ -32,9 +32,12 @@
 
   private void addListed(
       Map<Integer, TargetSlot> holders, BalancerFlow flow, TargetSlot slot, long nowMs) {
-    // A target that has gone, and whose agent has fallen silent, has ended with its flows.
+    // A target that has gone, and whose agent has fallen silent, has ended with its flows. An agent
+    // that stops after its target says so: searches would wait for its answer for 1.8 s otherwise.
     boolean gone = slot.record().phase() == TargetPhase.GONE;
-    boolean ended = gone && tables.agents().isSilent(slot.address(), nowMs);
+    boolean ended =
+        gone && tables.agents().isSilent(slot.address(), nowMs)
+            || tables.agents().hasTargetEnded(slot.address());
     if (!ended && !flow.denied.contains(slot.address())) {
       holders.putIfAbsent(slot.address(), slot);
     }
@@ -50,7 +53,8 @@
               ? agent.service().equals(flow.service)
               : route.sharesFlowsWith(agent.service());
       boolean denied = flow.denied.contains(address);
-      if (serves && !denied && tables.agents().isHeard(address, nowMs)) {
+      boolean ended = tables.agents().hasTargetEnded(address);
+      if (serves && !denied && !ended && tables.agents().isHeard(address, nowMs)) {
         holders.putIfAbsent(address, agent.slot());
       }
     }
--- a/core/src/main/java/io/moorstage/core/transparent/ReturnReason.java
+++ b/core/src/main/java/io/moorstage/core/transparent/ReturnReason.java
@@ -17,7 +17,9 @@
   /** The target's zone is evacuated and takes no new flow. */
   EVACUATED,
   /** The target is cold and has got as many new flows in the last second as it bears. */
-  COLD;
+  COLD,
+  /** The target's process has ended. */
+  ENDED;
 
   private static final ReturnReason[] VALUES = values();
 
--- a/core/src/main/java/io/moorstage/core/transparent/TargetStart.java
+++ b/core/src/main/java/io/moorstage/core/transparent/TargetStart.java
@@ -18,19 +18,19 @@
   /**
    * A balancer tells which target the source lists.
    *
-   * @param newId names this start of the target; 0 if none is listed
+   * @param newId names this start of the target
    * @param tookOver whether the source still lists the target before it as ready
+   * @return whether it is another start than the one told before
    */
-  void told(long newId, boolean tookOver) {
-    if (newId == 0) {
-      return;
-    }
-    if (id != newId) {
+  boolean told(long newId, boolean tookOver) {
+    boolean isOther = id != newId;
+    if (isOther) {
       // That another one was listed before tells nothing: that may have been an old state.
       id = newId;
       besideAgent = false;
     }
     besideAgent |= tookOver;
+    return isOther;
   }
 
   /** The target has sent a segment of a flow that the agent does not know. */
--- a/core/src/test/java/io/moorstage/core/transparent/Fleet.java
+++ b/core/src/test/java/io/moorstage/core/transparent/Fleet.java
@@ -89,6 +89,11 @@
     return new TargetRecord("t" + address, SERVICE, address, zone, 2, TargetPhase.READY, 0, 1, 1);
   }
 
+  /** Returns what an agent of the fleet's service and zone tells. */
+  static AgentNews agent(int address) {
+    return new AgentNews(address, SERVICE, ZONE, 0, false, false);
+  }
+
   /** What a balancer did, one text each. */
   static final class BalancerRecord implements BalancerActions {
     final List<String> done = new ArrayList<>();
@@ -138,6 +143,12 @@
     final List<FlowId> toClients = new ArrayList<>();
     final List<ReturnReason> givenBack = new ArrayList<>();
     final List<FlowId> reset = new ArrayList<>();
+    int targetChecks;
+
+    @Override
+    public void checkTarget() {
+      targetChecks++;
+    }
 
     @Override
     public void deliver(ByteBuffer datagram) {
--- a/core/src/test/java/io/moorstage/core/transparent/FlowAgentTest.java
+++ b/core/src/test/java/io/moorstage/core/transparent/FlowAgentTest.java
@@ -73,6 +73,94 @@
     assertThat(actions.givenBack).containsExactly(ReturnReason.LEAVING);
   }
 
+  private void awaitCheck() {
+    int before = actions.targetChecks;
+    for (int i = 0; i < 100 && actions.targetChecks == before; i++) {
+      nowMs += 20;
+      agent.onTick(nowMs);
+    }
+    assertThat(actions.targetChecks).isEqualTo(before + 1);
+  }
+
+  private void findTargetEnded() {
+    awaitCheck();
+    agent.onTargetCheck(true, nowMs);
+    assertThat(agent.hasTargetEnded()).isFalse();
+    awaitCheck();
+    agent.onTargetCheck(true, nowMs);
+    assertThat(agent.hasTargetEnded()).isTrue();
+  }
+
+  @Test
+  void flowsOfATargetThatHasEndedAreResetAndNewOnesGoElsewhereAtOnce() {
+    openFlow(1);
+    fromTarget(Fleet.data(Fleet.flow(1), 2, 100));
+    openFlow(2);
+    fromTarget(Fleet.data(Fleet.flow(2), 2, 100));
+    forwarded(Fleet.data(Fleet.flow(1), 101, 10));
+    findTargetEnded();
+    assertThat(actions.reset).containsExactly(Fleet.flow(1));
+
+    forwarded(Fleet.data(Fleet.flow(2), 101, 10));
+    assertThat(actions.reset).containsExactly(Fleet.flow(1), Fleet.flow(2));
+    forwarded(Fleet.open(Fleet.flow(3), 0));
+    assertThat(actions.givenBack).containsExactly(ReturnReason.ENDED);
+    assertThat(agent.onAsked(Fleet.flow(9), nowMs)).isEqualTo(FlowKnowledge.NOT_HELD);
+    assertThat(agent.onAsked(Fleet.flow(1), nowMs)).isEqualTo(FlowKnowledge.LOST);
+  }
+
+  // It may be held by another target that has got the opening or an offer too.
+  @Test
+  void flowThatAnEndedTargetMayNeverHaveHeldIsGivenBackAndNotReset() {
+    openFlow(1);
+    forwarded(Fleet.data(Fleet.flow(1), 101, 10));
+    forwarded(Fleet.data(Fleet.flow(2), 501, 10));
+    findTargetEnded();
+    forwarded(Fleet.data(Fleet.flow(1), 101, 10));
+    forwarded(Fleet.data(Fleet.flow(2), 501, 10));
+    assertThat(actions.reset).isEmpty();
+    assertThat(actions.givenBack).containsExactly(ReturnReason.NOT_HELD, ReturnReason.NOT_HELD);
+  }
+
+  @Test
+  void targetThatTakesTheCheckOrAnswersMeanwhileCountsAsRunning() {
+    openFlow(1);
+    forwarded(Fleet.data(Fleet.flow(1), 101, 10));
+    awaitCheck();
+    agent.onTargetCheck(true, nowMs);
+    answer(1);
+    agent.onTargetCheck(true, nowMs);
+    assertThat(agent.hasTargetEnded()).isFalse();
+    forwarded(Fleet.data(Fleet.flow(1), 111, 10));
+    awaitCheck();
+    agent.onTargetCheck(false, nowMs);
+    agent.onTargetCheck(true, nowMs);
+    assertThat(agent.hasTargetEnded()).isFalse();
+    assertThat(actions.reset).isEmpty();
+  }
+
+  @Test
+  void targetThatAnswersAsUsualIsNotChecked() {
+    openFlow(1);
+    for (int i = 0; i < 100; i++) {
+      forwarded(Fleet.data(Fleet.flow(1), 101 + 10 * i, 10));
+      nowMs += 20;
+      agent.onTick(nowMs);
+      answer(1);
+    }
+    assertThat(actions.targetChecks).isEqualTo(0);
+  }
+
+  @Test
+  void targetThatIsListedAnewAfterItsEndGetsNewFlows() {
+    told(TargetPhase.READY, false, 1);
+    forwarded(Fleet.open(Fleet.flow(1), 0));
+    findTargetEnded();
+    agent.onTarget(new TargetNews(4, TargetPhase.READY, false, CAPACITY, 7, false, 0, 0), nowMs);
+    forwarded(Fleet.open(Fleet.flow(2), 0));
+    assertThat(actions.delivered).contains(Fleet.open(Fleet.flow(2), 0).toString());
+  }
+
   // The bound must not depend on the balancer that hears last of the evacuation.
   @Test
   void targetOfAnEvacuatedZoneGetsNoOpeningWhateverABalancerSendsAndKeepsItsFlows() {
--- a/core/src/test/java/io/moorstage/core/transparent/FlowBalancerTest.java
+++ b/core/src/test/java/io/moorstage/core/transparent/FlowBalancerTest.java
@@ -28,7 +28,7 @@
 
   private void hear(int... agents) {
     for (int agent : agents) {
-      balancer.onAgent(agent, Fleet.SERVICE, Fleet.ZONE, 0, false, nowMs);
+      balancer.onAgent(Fleet.agent(agent), nowMs);
     }
   }
 
--- a/core/src/test/java/io/moorstage/core/transparent/FlowLocatorTest.java
+++ b/core/src/test/java/io/moorstage/core/transparent/FlowLocatorTest.java
@@ -52,7 +52,7 @@
   private void hearAllBut(int silentAddress) {
     for (TargetRecord target : targets) {
       if (target.address() != silentAddress) {
-        balancer.onAgent(target.address(), Fleet.SERVICE, Fleet.ZONE, 0, false, nowMs);
+        balancer.onAgent(Fleet.agent(target.address()), nowMs);
       }
     }
   }
@@ -273,6 +273,41 @@
     assertThat(actions.last()).isEqualTo(holder);
   }
 
+  // After a recovery one agent a second stopped, each time with its target: for 6 s no search came
+  // to an end, and 266 requests failed by their deadline.
+  @Test
+  void agentThatStopsAfterItsTargetIsNotWaitedFor() {
+    int leaving = addressesByRank().get(LOW_RANK);
+    hearAllBut(0);
+    balancer.onAgent(new AgentNews(leaving, Fleet.SERVICE, Fleet.ZONE, 0, true, true), nowMs);
+    clientGoesOn();
+    answerAll(0, leaving);
+    assertThat(actions.asked).doesNotContain(leaving);
+    assertThat(actions.reset).containsExactly(FLOW);
+  }
+
+  // It may be restarted beside a target that lives, and holds the flow.
+  @Test
+  void agentThatStopsBesideALivingTargetIsWaitedFor() {
+    int stopping = addressesByRank().get(LOW_RANK);
+    hearAllBut(stopping);
+    balancer.onAgent(new AgentNews(stopping, Fleet.SERVICE, Fleet.ZONE, 0, true, false), nowMs);
+    clientGoesOn();
+    answerAll(0, stopping);
+    assertThat(actions.reset).isEmpty();
+  }
+
+  @Test
+  void targetThatRunsAgainAtTheAddressOfAnEndedOneIsAskedAgain() {
+    int address = addressesByRank().get(LOW_RANK);
+    hearAllBut(0);
+    balancer.onAgent(new AgentNews(address, Fleet.SERVICE, Fleet.ZONE, 0, true, true), nowMs);
+    hearAllBut(0);
+    clientGoesOn();
+    answerAll(address, 0);
+    assertThat(actions.forwardedTo).containsExactly(address);
+  }
+
   @Test
   void targetThatHasGoneIsStillAskedThoughItsAgentIsNotHeard() {
     int gone = addressesByRank().get(LOW_RANK);
--- a/forwarding/src/main/java/io/moorstage/forwarding/AgentDaemon.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/AgentDaemon.java
@@ -53,6 +53,7 @@
   private final InetSocketAddress target;
   private final PeerStateFetcher fetcher;
   private final FirstStateReader firstReader;
+  private final TargetCheck targetCheck;
   private final ByteBuffer out = ByteBuffer.allocateDirect(PeerMessageCodec.MAX_BYTES);
   private final ByteBuffer beaconOut = ByteBuffer.allocateDirect(PeerMessageCodec.MAX_BYTES);
   private UdpPort peerPort;
@@ -83,6 +84,7 @@
     this.fetcher =
         new PeerStateFetcher(client, () -> PeerStateQuery.NOTHING, this::onPeerState, log);
     this.firstReader = new FirstStateReader(source, this::isFleetHeard, this::takeCopy, log);
+    this.targetCheck = new TargetCheck(target, this::onTargetCheck);
     metrics.gauge(ForwardingGauge.FLOWS, agent::flowCount);
     metrics.gauge(ForwardingGauge.REQUESTS, agent::busyFlows);
     metrics.gauge(ForwardingGauge.BALANCERS, () -> balancers.liveCount(MonotonicClock.nowMs()));
@@ -103,6 +105,16 @@
     if (settings.policy().uses(Mechanism.PEER_STATE_FIRST)) {
       firstReader.start();
     }
+    targetCheck.start();
+  }
+
+  private void onTargetCheck(boolean refused) {
+    metrics.count(ForwardingCounter.TARGET_CHECKS);
+    boolean endedBefore = agent.hasTargetEnded();
+    agent.onTargetCheck(refused, MonotonicClock.nowMs());
+    if (agent.hasTargetEnded() != endedBefore) {
+      log.event(endedBefore ? "target-runs" : "target-ended", "refused", refused);
+    }
   }
 
   private boolean isFleetHeard() {
@@ -156,6 +168,8 @@
   @Override
   public void stop() {
     stopping = true;
+    // A machine that leaves stops its agent after its target: then nobody waits for either.
+    targetCheck.runTwice();
     long nowMs = MonotonicClock.nowMs();
     PeerMessage last = beaconNow(nowMs);
     for (int balancer : balancers.close(nowMs)) {
@@ -203,9 +217,14 @@
   }
 
   private PeerMessage beaconNow(long nowMs) {
-    int[] live = balancers.live(settings.zone(), LISTED, nowMs);
     return new PeerMessage.AgentBeacon(
-        settings.service(), settings.zone(), copyRevision, agent.busyFlows(), stopping, live);
+        settings.service(),
+        settings.zone(),
+        copyRevision,
+        agent.busyFlows(),
+        stopping,
+        agent.hasTargetEnded(),
+        balancers.live(settings.zone(), LISTED, nowMs));
   }
 
   private synchronized void sendBeacon(PeerMessage beacon, int address) {
@@ -344,6 +363,11 @@
       peerPort.send(out.flip(), peers.get(balancerAddress));
     }
 
+    @Override
+    public void checkTarget() {
+      targetCheck.request();
+    }
+
     @Override
     public void reset(FlowId flow, int sequence) {
       out.clear();
--- a/forwarding/src/main/java/io/moorstage/forwarding/BalancerDaemon.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/BalancerDaemon.java
@@ -1,6 +1,7 @@
 package io.moorstage.forwarding;
 
 import io.moorstage.core.model.Endpoint;
+import io.moorstage.core.transparent.AgentNews;
 import io.moorstage.core.transparent.BalancerActions;
 import io.moorstage.core.transparent.Decision;
 import io.moorstage.core.transparent.FleetState;
@@ -364,11 +365,13 @@
     } else if (message instanceof PeerMessage.AgentBeacon beacon) {
       boolean appeared =
           balancer.onAgent(
-              sourceAddress,
-              beacon.service(),
-              beacon.zone(),
-              beacon.busyFlows(),
-              beacon.stopping(),
+              new AgentNews(
+                  sourceAddress,
+                  beacon.service(),
+                  beacon.zone(),
+                  beacon.busyFlows(),
+                  beacon.stopping(),
+                  beacon.targetEnded()),
               nowMs);
       boolean isNear = beacon.zone().equals(settings.zone());
       boolean looksForBalancers = beacon.balancers().length == 0;
--- a/forwarding/src/main/java/io/moorstage/forwarding/ForwardingCounter.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/ForwardingCounter.java
@@ -18,7 +18,8 @@
   SOURCE_REFUSED("Calls that the source has refused."),
   SOURCE_HISTORY_GONE("Calls to which the source no longer knew the changes asked for."),
   SOURCE_MALFORMED("Answers of the source that were cut off, malformed or too large."),
-  PEER_STATES("States taken from another node, since it knew more than this one.");
+  PEER_STATES("States taken from another node, since it knew more than this one."),
+  TARGET_CHECKS("Agent: connections opened to find out whether the target's process runs.");
 
   private final String meaning;
 
--- a/forwarding/src/main/java/io/moorstage/forwarding/PeerMessage.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/PeerMessage.java
@@ -82,9 +82,16 @@
    * @param revision the source's revision of the state copy that the agent keeps, 0 for none
    * @param busyFlows flows of its target with a request in progress
    * @param stopping whether the agent is about to end
+   * @param targetEnded whether the target's process has ended
    * @param balancers addresses of some balancers that it has heard from
    */
   record AgentBeacon(
-      String service, String zone, long revision, int busyFlows, boolean stopping, int[] balancers)
+      String service,
+      String zone,
+      long revision,
+      int busyFlows,
+      boolean stopping,
+      boolean targetEnded,
+      int[] balancers)
       implements PeerMessage {}
 }
--- a/forwarding/src/main/java/io/moorstage/forwarding/PeerMessageCodec.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/PeerMessageCodec.java
@@ -77,6 +77,7 @@
       putText(beacon.zone(), out);
       out.putLong(beacon.revision()).putInt(beacon.busyFlows());
       putFlag(beacon.stopping(), out);
+      putFlag(beacon.targetEnded(), out);
       putAddresses(beacon.balancers(), out);
     }
   }
@@ -149,7 +150,13 @@
         return decodeBalancerBeacon(in);
       case AGENT_BEACON:
         return new PeerMessage.AgentBeacon(
-            getText(in), getText(in), in.getLong(), in.getInt(), in.get() != 0, getAddresses(in));
+            getText(in),
+            getText(in),
+            in.getLong(),
+            in.getInt(),
+            in.get() != 0,
+            in.get() != 0,
+            getAddresses(in));
       default:
         return null;
     }
--- a/forwarding/src/test/java/io/moorstage/forwarding/PeerMessageCodecTest.java
+++ b/forwarding/src/test/java/io/moorstage/forwarding/PeerMessageCodecTest.java
@@ -94,9 +94,10 @@
 
     PeerMessage.AgentBeacon agent =
         (PeerMessage.AgentBeacon)
-            throughTheWire(new PeerMessage.AgentBeacon("s", "lac", 3, 4, true, new int[0]));
+            throughTheWire(new PeerMessage.AgentBeacon("s", "lac", 3, 4, true, true, new int[0]));
     assertThat(agent.zone()).isEqualTo("lac");
     assertThat(agent.stopping()).isTrue();
+    assertThat(agent.targetEnded()).isTrue();
     assertThat(agent.busyFlows()).isEqualTo(4);
   }
 
