Leave a target that breaks off or leaves unanswered several requests out of new flows

Change: its agent counts requests that the target breaks off while the client waits (three in a row), and notices that nothing is answered for eight mean answers (250 ms at least). It tells balancers, gives new flows back (reason UNFIT) for 1, 2, then 4 s, and then takes one flow whose requests may be repeated as a trial. Balancers leave such a target out unless more than half of a service's targets seem unfit; then they use all, and agents obey.

Consecutive failures are Envoy's outlier detection, the trial is a circuit breaker's. Two mechanisms, so that the ways can be compared: outlier-detection, and outlier-refusal (without it agents only tell).

--- a/core/src/main/java/io/moorstage/core/transparent/AgentNews.java
+++ b/core/src/main/java/io/moorstage/core/transparent/AgentNews.java
@@ -8,6 +8,7 @@
  * @param zone the agent's zone
  * @param busyFlows flows with a request in progress
  * @param stopping whether the agent is about to end
+ * @param targetUnfit whether the target has broken off requests of late, or answers none
  * @param targetEnded whether the target's process has ended, so that it holds no flow any more
  */
 public record AgentNews(
@@ -16,4 +17,5 @@
     String zone,
     int busyFlows,
     boolean stopping,
+    boolean targetUnfit,
     boolean targetEnded) {}
--- a/core/src/main/java/io/moorstage/core/transparent/BalancerFlow.java
+++ b/core/src/main/java/io/moorstage/core/transparent/BalancerFlow.java
@@ -37,6 +37,9 @@
   /** What agents are told with the flow's segments, as of some configuration; null before. */
   @Nullable ForwardTerms terms;
 
+  /** Whether a target is to take the flow although it seems unfit. */
+  boolean insists;
+
   @Nullable Location location;
 
   /** Whether the last search found neither the flow nor that nobody holds it. */
--- a/core/src/main/java/io/moorstage/core/transparent/BalancerTables.java
+++ b/core/src/main/java/io/moorstage/core/transparent/BalancerTables.java
@@ -157,15 +157,25 @@
     ForwardingConfiguration configuration = state.configuration();
     long version = configuration.version();
     // Made once for each configuration, since it would be for every segment.
-    if (flow.terms == null || flow.terms.configurationVersion() != version) {
-      ForwardingRoute route = configuration.routeOf(flow.id);
-      int timeoutMs = route == null ? 0 : route.timeoutMs();
-      int coldOpeningsPerS = configuration.coldStartOf(flow.service).openingsPerS();
-      flow.terms = new ForwardTerms(flow.service, version, timeoutMs, coldOpeningsPerS);
+    ForwardTerms known = flow.terms;
+    boolean isCurrent = known != null && known.configurationVersion() == version;
+    if (!isCurrent || known.insists() != flow.insists) {
+      flow.terms = newTermsOf(flow, configuration);
     }
     return flow.terms;
   }
 
+  private static ForwardTerms newTermsOf(BalancerFlow flow, ForwardingConfiguration configuration) {
+    ForwardingRoute route = configuration.routeOf(flow.id);
+    return new ForwardTerms(
+        flow.service,
+        configuration.version(),
+        route == null ? 0 : route.timeoutMs(),
+        configuration.coldStartOf(flow.service).openingsPerS(),
+        route != null && route.repeatable(),
+        flow.insists);
+  }
+
   /** Returns the pools that may hold a flow: any service that its route shares flows among. */
   List<TargetPool> poolsOf(BalancerFlow flow) {
     List<TargetPool> found = new ArrayList<>(1);
--- a/core/src/main/java/io/moorstage/core/transparent/FlowAgent.java
+++ b/core/src/main/java/io/moorstage/core/transparent/FlowAgent.java
@@ -8,6 +8,7 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import javax.annotation.Nullable;
 
 /**
  * The decisions of an agent: what its target gets, and what goes back to the balancers.
@@ -29,6 +30,7 @@
   private final RequestGate gate;
   private final TargetStart targetStart = new TargetStart();
   private final TargetWatch watch = new TargetWatch();
+  private final TargetFitness fitness = new TargetFitness();
   private int waitingFlows;
 
   /**
@@ -95,6 +97,11 @@
     }
   }
 
+  /** Returns whether the target has broken off requests of late, or answers none. */
+  public synchronized boolean isTargetUnfit() {
+    return fitness.isUnfit() && policy.uses(Mechanism.OUTLIER_DETECTION);
+  }
+
   /** Returns whether the target's process has ended, as far as the agent knows. */
   public synchronized boolean hasTargetEnded() {
     return watch.hasEnded();
@@ -262,7 +269,7 @@
 
   private void open(
       int balancerAddress, ForwardTerms terms, Segment segment, ByteBuffer datagram, long nowMs) {
-    ReturnReason refusal = watch.hasEnded() ? ReturnReason.ENDED : admission.refusal(terms, nowMs);
+    ReturnReason refusal = refusalOf(terms, nowMs);
     if (refusal != null) {
       giveBack(balancerAddress, refusal, segment, datagram);
       return;
@@ -288,6 +295,18 @@
     actions.deliver(datagram);
   }
 
+  @Nullable
+  private ReturnReason refusalOf(ForwardTerms terms, long nowMs) {
+    if (watch.hasEnded()) {
+      return ReturnReason.ENDED;
+    }
+    boolean mayRefuse = policy.uses(Mechanism.OUTLIER_REFUSAL) && !terms.insists();
+    if (mayRefuse && isTargetUnfit() && !fitness.admits(terms.repeatable(), nowMs)) {
+      return ReturnReason.UNFIT;
+    }
+    return admission.refusal(terms, nowMs);
+  }
+
   private void giveBack(
       int balancerAddress, ReturnReason reason, Segment segment, ByteBuffer datagram) {
     log.decided(Decision.GAVE_BACK, segment.flow(), balancerAddress, reason.name(), -1);
@@ -319,6 +338,9 @@
   // A target closes after its answer, or without one if its client has given the request up.
   private void noteTargetEnd(AgentFlow flow, Segment segment, long nowMs) {
     if (segment.kind() == Segment.Kind.CLOSE || segment.kind() == Segment.Kind.RESET) {
+      if (flow.busy && !flow.closed) {
+        fitness.failed(nowMs);
+      }
       flow.closed = true;
       setBusy(flow, false, nowMs);
     }
@@ -364,6 +386,7 @@
       flow.answered = true;
       if (flow.busy) {
         watch.answered(nowMs - flow.busySinceMs);
+        fitness.succeeded(nowMs);
       }
       setBusy(flow, false, nowMs);
     }
@@ -430,6 +453,7 @@
   /** Handles what is due; called every few tens of milliseconds. */
   public synchronized void onTick(long nowMs) {
     giveBackUnanswered(nowMs);
+    fitness.onTick(gate.oldestSinceMs(), watch.meanAnswerMs(), nowMs);
     if (watch.takeCheck(nowMs)) {
       actions.checkTarget();
     }
--- a/core/src/main/java/io/moorstage/core/transparent/FlowBalancer.java
+++ b/core/src/main/java/io/moorstage/core/transparent/FlowBalancer.java
@@ -89,6 +89,7 @@
   private void report(TargetSlot slot, AgentNews news, long nowMs) {
     slot.reportBusy(news.busyFlows(), nowMs);
     slot.hear(nowMs);
+    slot.tellFitness(news.targetUnfit(), policy.suspicionMs(), nowMs);
     if (news.stopping() || news.targetEnded()) {
       slot.leave(policy.suspicionMs(), nowMs);
     }
--- a/core/src/main/java/io/moorstage/core/transparent/FlowOpener.java
+++ b/core/src/main/java/io/moorstage/core/transparent/FlowOpener.java
@@ -137,6 +137,7 @@
     Decision decision = flow.tried.isEmpty() ? Decision.PLACED : Decision.PLACED_AGAIN;
     log.decided(decision, flow.id, chosen.address(), reason, tables.ageOfState(nowMs));
     flow.moveTo(chosen);
+    flow.insists = pool.mostAreUnfit(nowMs);
     flow.openedAtMs = nowMs;
     flow.unreturnedOpens++;
     tables.send(flow, chosen, datagram);
@@ -212,6 +213,7 @@
       switch (reason) {
         case SILENT, ENDED -> refusing.suspect(policy.suspicionMs(), nowMs);
         case COLD -> refusing.refuse(COLD_PAUSE_MS, nowMs);
+        case UNFIT -> refusing.tellFitness(true, policy.suspicionMs(), nowMs);
         case FULL -> {}
         default -> refusing.leave(policy.suspicionMs(), nowMs);
       }
--- a/core/src/main/java/io/moorstage/core/transparent/ForwardTerms.java
+++ b/core/src/main/java/io/moorstage/core/transparent/ForwardTerms.java
@@ -8,6 +8,14 @@
  * @param timeoutMs how long a request of the flow's route may take; 0 if not known
  * @param coldOpeningsPerS how many new flows a cold target of the service bears in a second; 0 for
  *     no limit
+ * @param repeatable whether requests of the flow's route may be repeated
+ * @param insists whether the target is to take a new flow although it seems unfit, since most
+ *     targets of the service do
  */
 public record ForwardTerms(
-    String service, long configurationVersion, int timeoutMs, int coldOpeningsPerS) {}
+    String service,
+    long configurationVersion,
+    int timeoutMs,
+    int coldOpeningsPerS,
+    boolean repeatable,
+    boolean insists) {}
--- a/core/src/main/java/io/moorstage/core/transparent/ForwardingRoute.java
+++ b/core/src/main/java/io/moorstage/core/transparent/ForwardingRoute.java
@@ -9,10 +9,11 @@
  * @param address IPv4 address that clients send to
  * @param port port that clients send to
  * @param timeoutMs how long a request of the route may take, in milliseconds; 0 if not known
+ * @param repeatable whether its requests may be repeated
  * @param services the services that share the route's new flows, at least one
  */
 public record ForwardingRoute(
-    int address, int port, int timeoutMs, List<WeightedService> services) {
+    int address, int port, int timeoutMs, boolean repeatable, List<WeightedService> services) {
 
   /** Returns whether a service takes a share of the route's flows. */
   public boolean sharesFlowsWith(String service) {
--- a/core/src/main/java/io/moorstage/core/transparent/Mechanism.java
+++ b/core/src/main/java/io/moorstage/core/transparent/Mechanism.java
@@ -21,6 +21,10 @@
   LONG_WAIT_TURNS("long-wait-turns"),
   /** A silent target gets no new flows for a while. */
   SUSPICION("suspicion"),
+  /** A target that breaks off or leaves unanswered several requests gets no new flows. */
+  OUTLIER_DETECTION("outlier-detection"),
+  /** The agent of such a target gives new flows back, besides telling balancers. */
+  OUTLIER_REFUSAL("outlier-refusal"),
   /** A target that has just started counts as more loaded than it is. */
   SLOW_START("slow-start"),
   /** Segments that come before the first state are kept for it. */
--- a/core/src/main/java/io/moorstage/core/transparent/RequestGate.java
+++ b/core/src/main/java/io/moorstage/core/transparent/RequestGate.java
@@ -76,6 +76,17 @@
     return null;
   }
 
+  /** Returns since when the oldest request has been in progress; negative if there is none. */
+  long oldestSinceMs() {
+    for (AgentFlow flow = begun.peekFirst(); flow != null; flow = begun.peekFirst()) {
+      if (flow.busy) {
+        return flow.busySinceMs;
+      }
+      begun.pollFirst();
+    }
+    return -1;
+  }
+
   void ended() {
     inProgress--;
   }
--- a/core/src/main/java/io/moorstage/core/transparent/ReturnReason.java
+++ b/core/src/main/java/io/moorstage/core/transparent/ReturnReason.java
@@ -19,7 +19,9 @@
   /** The target is cold and has got as many new flows in the last second as it bears. */
   COLD,
   /** The target's process has ended. */
-  ENDED;
+  ENDED,
+  /** The target has broken off requests, or answers none, and gets no new flow for a while. */
+  UNFIT;
 
   private static final ReturnReason[] VALUES = values();
 
--- /dev/null
+++ b/core/src/main/java/io/moorstage/core/transparent/TargetFitness.java
@@ -0,0 +1,109 @@
+package io.moorstage.core.transparent;
+
+/**
+ * Judges by the outcomes of requests whether a target is fit for new flows, whatever it says of its
+ * health. Guarded by the lock of {@link FlowAgent}.
+ *
+ * <p>Outlier detection by consecutive failures, as in Envoy, with a circuit breaker's single probe
+ * (Nygard, "Release It!", 2007): a target that has broken off several requests in a row, or answers
+ * none for much longer than usual, gets no new flow for a while and then one, whose outcome
+ * decides. Bytes are all that an agent sees, so a target that answers with errors is not noticed.
+ */
+final class TargetFitness {
+  /** A target that has crashed and started again may break off one or two requests. */
+  private static final int FAILURES_IN_ROW = 3;
+
+  /** First time out of use; doubled after each probe that fails. */
+  private static final int EJECTION_MS = 1_000;
+
+  /** At most four seconds out of use: a target has to be back soon after it has recovered. */
+  private static final int MAX_DOUBLINGS = 2;
+
+  /** Without an answer for so long, with requests in progress, a target has stalled ... */
+  private static final int MIN_STALL_MS = 250;
+
+  /** ... unless its requests usually take long. */
+  private static final int STALL_IN_ANSWER_TIMES = 8;
+
+  private enum State {
+    FIT,
+    EJECTED,
+    PROBING
+  }
+
+  private State state = State.FIT;
+  private int failuresInRow;
+  private int ejections;
+  private long ejectedUntilMs;
+  private long answeredAtMs;
+  private long probedAtMs;
+
+  /** The target has answered a request. */
+  void succeeded(long nowMs) {
+    answeredAtMs = nowMs;
+    failuresInRow = 0;
+    if (state == State.PROBING) {
+      state = State.FIT;
+      ejections = 0;
+    }
+  }
+
+  /** The target has broken off a request that its client waits for. */
+  void failed(long nowMs) {
+    failuresInRow++;
+    if (state == State.PROBING || state == State.FIT && failuresInRow >= FAILURES_IN_ROW) {
+      eject(nowMs);
+    }
+  }
+
+  /**
+   * Notices a target that has stalled.
+   *
+   * @param oldestSinceMs since when the oldest request has been in progress; negative for none
+   * @param meanAnswerMs how long requests take in the mean
+   */
+  void onTick(long oldestSinceMs, double meanAnswerMs, long nowMs) {
+    if (oldestSinceMs < 0 || state == State.EJECTED) {
+      return;
+    }
+    long quietMs = nowMs - Math.max(answeredAtMs, oldestSinceMs);
+    if (quietMs > Math.max(MIN_STALL_MS, STALL_IN_ANSWER_TIMES * meanAnswerMs)) {
+      eject(nowMs);
+    }
+  }
+
+  private void eject(long nowMs) {
+    int doublings = Math.min(ejections, MAX_DOUBLINGS);
+    ejections++;
+    state = State.EJECTED;
+    ejectedUntilMs = nowMs + ((long) EJECTION_MS << doublings);
+  }
+
+  /** Returns whether the target gets no new flow, or one at most. */
+  boolean isUnfit() {
+    return state != State.FIT;
+  }
+
+  /**
+   * Returns whether the target may get a new flow.
+   *
+   * @param repeatable whether its requests may be repeated: a probe that fails costs them less
+   */
+  boolean admits(boolean repeatable, long nowMs) {
+    if (state == State.FIT) {
+      return true;
+    }
+    if (nowMs < ejectedUntilMs) {
+      return false;
+    }
+    boolean mustProbe = nowMs - ejectedUntilMs > EJECTION_MS;
+    boolean probeIsLost = state == State.PROBING && nowMs - probedAtMs > EJECTION_MS;
+    boolean due = state == State.EJECTED || probeIsLost;
+    if (!due || !repeatable && !mustProbe) {
+      return false;
+    }
+    state = State.PROBING;
+    probedAtMs = nowMs;
+    return true;
+  }
+}
--- a/core/src/main/java/io/moorstage/core/transparent/TargetPool.java
+++ b/core/src/main/java/io/moorstage/core/transparent/TargetPool.java
@@ -72,6 +72,18 @@
     return !slots.isEmpty() && slots.stream().allMatch(TargetSlot::isEvacuated);
   }
 
+  /**
+   * Returns whether more than half of the targets that take new flows seem unfit. Then the others
+   * could not bear the load, and the fault may lie elsewhere: all are used.
+   */
+  boolean mostAreUnfit(long nowMs) {
+    int unfit = 0;
+    for (TargetSlot slot : slots) {
+      unfit += slot.takesNewFlows() && slot.isUnfit(nowMs) ? 1 : 0;
+    }
+    return unfit > 0 && unfit * 2 > readyCount();
+  }
+
   /** Returns whether some targets take no new flow just because they are cold. */
   boolean isRefusing(long nowMs) {
     return slots.stream().anyMatch(slot -> slot.takesNewFlows() && slot.isRefusing(nowMs));
@@ -102,6 +114,7 @@
   @Nullable
   private TargetSlot chooseAmong(
       FlowId flow, List<TargetSlot> tried, boolean suspectsToo, long nowMs) {
+    boolean takesUnfit = mostAreUnfit(nowMs);
     HighestTwo ofZone = new HighestTwo(flow.hash());
     HighestTwo ofAll = new HighestTwo(flow.hash());
     for (TargetSlot slot : slots) {
@@ -112,6 +125,9 @@
       if (!suspectsToo && slot.isSuspect(nowMs) && policy.uses(Mechanism.SUSPICION)) {
         continue;
       }
+      if (!takesUnfit && slot.isUnfit(nowMs)) {
+        continue;
+      }
       ofAll.add(slot);
       if (isOfZone(slot)) {
         ofZone.add(slot);
--- a/core/src/main/java/io/moorstage/core/transparent/TargetSlot.java
+++ b/core/src/main/java/io/moorstage/core/transparent/TargetSlot.java
@@ -21,6 +21,7 @@
   private volatile int silences;
   private volatile long coldUntilMs;
   private volatile long refusesUntilMs = NEVER;
+  private volatile long unfitUntilMs = NEVER;
   private volatile int reportedBusy;
   private volatile double averageBusy;
   private final AtomicInteger placedSinceReport = new AtomicInteger();
@@ -124,6 +125,16 @@
     suspectUntilMs = Math.max(suspectUntilMs, nowMs + suspicionMs);
   }
 
+  /** The agent has told whether the target is fit for new flows; holds until it tells again. */
+  void tellFitness(boolean unfit, int validMs, long nowMs) {
+    unfitUntilMs = unfit ? nowMs + validMs : NEVER;
+  }
+
+  /** Returns whether the target has broken off requests of late, or left them unanswered. */
+  boolean isUnfit(long nowMs) {
+    return nowMs < unfitUntilMs;
+  }
+
   /** The target is cold and has got as many new flows as it bears. */
   void refuse(int pauseMs, long nowMs) {
     refusesUntilMs = nowMs + pauseMs;
--- a/core/src/main/java/io/moorstage/core/transparent/TargetWatch.java
+++ b/core/src/main/java/io/moorstage/core/transparent/TargetWatch.java
@@ -54,6 +54,11 @@
     meanAnswerMs += AVERAGING * (afterMs - meanAnswerMs);
   }
 
+  /** Returns how long requests take in the mean. */
+  double meanAnswerMs() {
+    return meanAnswerMs;
+  }
+
   /** Returns whether the target's process has ended, and has not been seen again since. */
   boolean hasEnded() {
     return refusals >= REFUSALS_OF_AN_END;
--- a/core/src/test/java/io/moorstage/core/transparent/Fleet.java
+++ b/core/src/test/java/io/moorstage/core/transparent/Fleet.java
@@ -67,7 +67,8 @@
 
   static FleetState state(long revision, long version, TargetRecord... targets) {
     ForwardingRoute route =
-        new ForwardingRoute(SERVICE_ADDRESS, PORT, 3_000, List.of(new WeightedService(SERVICE, 1)));
+        new ForwardingRoute(
+            SERVICE_ADDRESS, PORT, 3_000, true, List.of(new WeightedService(SERVICE, 1)));
     return FleetState.of(
         revision,
         new ForwardingConfiguration(version, 60_000, List.of(route), Map.of()),
@@ -91,7 +92,7 @@
 
   /** Returns what an agent of the fleet's service and zone tells. */
   static AgentNews agent(int address) {
-    return new AgentNews(address, SERVICE, ZONE, 0, false, false);
+    return new AgentNews(address, SERVICE, ZONE, 0, false, false, false);
   }
 
   /** What a balancer did, one text each. */
@@ -101,10 +102,12 @@
     final List<Integer> asked = new ArrayList<>();
     final List<FlowId> reset = new ArrayList<>();
     final List<Integer> caughtUpFrom = new ArrayList<>();
+    int insisted;
 
     @Override
     public void forward(int agentAddress, ForwardTerms terms, ByteBuffer datagram) {
       forwardedTo.add(agentAddress);
+      insisted += terms.insists() ? 1 : 0;
     }
 
     @Override
--- a/core/src/test/java/io/moorstage/core/transparent/FleetStateTest.java
+++ b/core/src/test/java/io/moorstage/core/transparent/FleetStateTest.java
@@ -91,7 +91,7 @@
   void newFlowsFollowTheWeightsOfARoute() {
     ForwardingRoute route =
         new ForwardingRoute(
-            1, 443, 3_000, List.of(new WeightedService("a", 3), new WeightedService("b", 1)));
+            1, 443, 3_000, true, List.of(new WeightedService("a", 3), new WeightedService("b", 1)));
     int toA = 0;
     for (int port = 1; port <= 4_000; port++) {
       toA += "a".equals(route.serviceOf(Fleet.flow(port))) ? 1 : 0;
--- a/core/src/test/java/io/moorstage/core/transparent/FlowBalancerTest.java
+++ b/core/src/test/java/io/moorstage/core/transparent/FlowBalancerTest.java
@@ -136,6 +136,35 @@
     assertThat(actions.last()).isEqualTo(B);
   }
 
+  private void tellUnfit(int... agents) {
+    for (int agent : agents) {
+      balancer.onAgent(
+          new AgentNews(agent, Fleet.SERVICE, Fleet.ZONE, 0, false, true, false), nowMs);
+    }
+  }
+
+  @Test
+  void unfitTargetGetsNoNewFlowWhileHalfOfTheServiceIsFit() {
+    takeState(threeTargets());
+    tellUnfit(A);
+    for (int port = 1; port <= 50; port++) {
+      client(Fleet.open(Fleet.flow(port), 0));
+    }
+    assertThat(actions.forwardedTo).doesNotContain(A);
+    assertThat(actions.insisted).isEqualTo(0);
+  }
+
+  @Test
+  void allTargetsAreUsedWhenMostSeemUnfit() {
+    takeState(threeTargets());
+    tellUnfit(A, B);
+    for (int port = 1; port <= 50; port++) {
+      client(Fleet.open(Fleet.flow(port), 0));
+    }
+    assertThat(actions.forwardedTo).containsAtLeast(A, B, C);
+    assertThat(actions.insisted).isEqualTo(50);
+  }
+
   @Test
   void coldTargetThatHasRefusedAFlowIsLeftOutForAMomentAndOthersAreTaken() {
     takeState(Fleet.state(5, Fleet.targetIn(Fleet.ZONE, A), Fleet.targetIn("other", B)));
--- a/core/src/test/java/io/moorstage/core/transparent/FlowLocatorTest.java
+++ b/core/src/test/java/io/moorstage/core/transparent/FlowLocatorTest.java
@@ -279,7 +279,8 @@
   void agentThatStopsAfterItsTargetIsNotWaitedFor() {
     int leaving = addressesByRank().get(LOW_RANK);
     hearAllBut(0);
-    balancer.onAgent(new AgentNews(leaving, Fleet.SERVICE, Fleet.ZONE, 0, true, true), nowMs);
+    balancer.onAgent(
+        new AgentNews(leaving, Fleet.SERVICE, Fleet.ZONE, 0, true, false, true), nowMs);
     clientGoesOn();
     answerAll(0, leaving);
     assertThat(actions.asked).doesNotContain(leaving);
@@ -291,7 +292,8 @@
   void agentThatStopsBesideALivingTargetIsWaitedFor() {
     int stopping = addressesByRank().get(LOW_RANK);
     hearAllBut(stopping);
-    balancer.onAgent(new AgentNews(stopping, Fleet.SERVICE, Fleet.ZONE, 0, true, false), nowMs);
+    balancer.onAgent(
+        new AgentNews(stopping, Fleet.SERVICE, Fleet.ZONE, 0, true, false, false), nowMs);
     clientGoesOn();
     answerAll(0, stopping);
     assertThat(actions.reset).isEmpty();
@@ -301,7 +303,8 @@
   void targetThatRunsAgainAtTheAddressOfAnEndedOneIsAskedAgain() {
     int address = addressesByRank().get(LOW_RANK);
     hearAllBut(0);
-    balancer.onAgent(new AgentNews(address, Fleet.SERVICE, Fleet.ZONE, 0, true, true), nowMs);
+    balancer.onAgent(
+        new AgentNews(address, Fleet.SERVICE, Fleet.ZONE, 0, true, false, true), nowMs);
     hearAllBut(0);
     clientGoesOn();
     answerAll(address, 0);
--- a/forwarding/src/main/java/io/moorstage/forwarding/AgentDaemon.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/AgentDaemon.java
@@ -223,6 +223,7 @@
         copyRevision,
         agent.busyFlows(),
         stopping,
+        agent.isTargetUnfit(),
         agent.hasTargetEnded(),
         balancers.live(settings.zone(), LISTED, nowMs));
   }
--- a/forwarding/src/main/java/io/moorstage/forwarding/BalancerDaemon.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/BalancerDaemon.java
@@ -371,6 +371,7 @@
                   beacon.zone(),
                   beacon.busyFlows(),
                   beacon.stopping(),
+                  beacon.targetUnfit(),
                   beacon.targetEnded()),
               nowMs);
       boolean isNear = beacon.zone().equals(settings.zone());
--- a/forwarding/src/main/java/io/moorstage/forwarding/FleetStateCodec.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/FleetStateCodec.java
@@ -71,6 +71,7 @@
       out.writeInt(route.address());
       out.writeInt(route.port());
       out.writeInt(route.timeoutMs());
+      out.writeBoolean(route.repeatable());
       out.writeInt(route.services().size());
       for (WeightedService part : route.services()) {
         out.writeUTF(part.service());
@@ -150,12 +151,13 @@
       int address = in.readInt();
       int port = in.readInt();
       int timeoutMs = in.readInt();
+      boolean repeatable = in.readBoolean();
       int parts = readCount(in);
       List<WeightedService> services = new ArrayList<>(1);
       for (int j = 0; j < parts; j++) {
         services.add(new WeightedService(in.readUTF(), in.readInt()));
       }
-      routes.add(new ForwardingRoute(address, port, timeoutMs, services));
+      routes.add(new ForwardingRoute(address, port, timeoutMs, repeatable, services));
     }
     return new ForwardingConfiguration(version, idleTimeoutMs, routes, readColdStarts(in));
   }
--- a/forwarding/src/main/java/io/moorstage/forwarding/PeerMessage.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/PeerMessage.java
@@ -82,6 +82,7 @@
    * @param revision the source's revision of the state copy that the agent keeps, 0 for none
    * @param busyFlows flows of its target with a request in progress
    * @param stopping whether the agent is about to end
+   * @param targetUnfit whether the target has broken off requests of late, or answers none
    * @param targetEnded whether the target's process has ended
    * @param balancers addresses of some balancers that it has heard from
    */
@@ -91,6 +92,7 @@
       long revision,
       int busyFlows,
       boolean stopping,
+      boolean targetUnfit,
       boolean targetEnded,
       int[] balancers)
       implements PeerMessage {}
--- a/forwarding/src/main/java/io/moorstage/forwarding/PeerMessageCodec.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/PeerMessageCodec.java
@@ -49,6 +49,8 @@
       putText(forward.terms().service(), out);
       out.putLong(forward.terms().configurationVersion()).putInt(forward.terms().timeoutMs());
       out.putInt(forward.terms().coldOpeningsPerS());
+      putFlag(forward.terms().repeatable(), out);
+      putFlag(forward.terms().insists(), out);
       out.put(forward.datagram().duplicate());
     } else if (message instanceof PeerMessage.GiveBack giveBack) {
       out.put(GIVE_BACK).put((byte) giveBack.reason().ordinal());
@@ -77,6 +79,7 @@
       putText(beacon.zone(), out);
       out.putLong(beacon.revision()).putInt(beacon.busyFlows());
       putFlag(beacon.stopping(), out);
+      putFlag(beacon.targetUnfit(), out);
       putFlag(beacon.targetEnded(), out);
       putAddresses(beacon.balancers(), out);
     }
@@ -136,7 +139,9 @@
   private static PeerMessage decodeFields(ByteBuffer in) {
     switch (in.get()) {
       case FORWARD:
-        ForwardTerms terms = new ForwardTerms(getText(in), in.getLong(), in.getInt(), in.getInt());
+        ForwardTerms terms =
+            new ForwardTerms(
+                getText(in), in.getLong(), in.getInt(), in.getInt(), in.get() != 0, in.get() != 0);
         return new PeerMessage.Forward(terms, in.slice());
       case GIVE_BACK:
         ReturnReason reason = ReturnReason.ofNumber(in.get());
@@ -156,6 +161,7 @@
             in.getInt(),
             in.get() != 0,
             in.get() != 0,
+            in.get() != 0,
             getAddresses(in));
       default:
         return null;
--- a/forwarding/src/test/java/io/moorstage/forwarding/PeerMessageCodecTest.java
+++ b/forwarding/src/test/java/io/moorstage/forwarding/PeerMessageCodecTest.java
@@ -29,7 +29,7 @@
   @Test
   void forwardedSegmentComesThroughUnchanged() {
     byte[] segment = {1, 2, 3, 4};
-    ForwardTerms terms = new ForwardTerms("tables", 42, 900, 12);
+    ForwardTerms terms = new ForwardTerms("tables", 42, 900, 12, true, false);
     PeerMessage.Forward read =
         (PeerMessage.Forward)
             throughTheWire(new PeerMessage.Forward(terms, ByteBuffer.wrap(segment)));
@@ -94,7 +94,8 @@
 
     PeerMessage.AgentBeacon agent =
         (PeerMessage.AgentBeacon)
-            throughTheWire(new PeerMessage.AgentBeacon("s", "lac", 3, 4, true, true, new int[0]));
+            throughTheWire(
+                new PeerMessage.AgentBeacon("s", "lac", 3, 4, true, false, true, new int[0]));
     assertThat(agent.zone()).isEqualTo("lac");
     assertThat(agent.stopping()).isTrue();
     assertThat(agent.targetEnded()).isTrue();
--- a/lab/src/main/java/io/moorstage/lab/bench/TransparentFlows.java
+++ b/lab/src/main/java/io/moorstage/lab/bench/TransparentFlows.java
@@ -33,7 +33,8 @@
   private static final int SERVICE_ADDRESS = 0xC6120001;
   private static final int SERVICE_PORT = 443;
   private static final int TIMEOUT_MS = 2_500;
-  private static final ForwardTerms TERMS = new ForwardTerms(SERVICE, 1, TIMEOUT_MS, 0);
+  private static final ForwardTerms TERMS =
+      new ForwardTerms(SERVICE, 1, TIMEOUT_MS, 0, true, false);
   private static final int SEGMENT_BYTES = 132;
   private static final int DATA_BYTES = 100;
 
@@ -102,7 +103,11 @@
     }
     ForwardingRoute route =
         new ForwardingRoute(
-            SERVICE_ADDRESS, SERVICE_PORT, TIMEOUT_MS, List.of(new WeightedService(SERVICE, 1)));
+            SERVICE_ADDRESS,
+            SERVICE_PORT,
+            TIMEOUT_MS,
+            true,
+            List.of(new WeightedService(SERVICE, 1)));
     return FleetState.of(
         1,
         new ForwardingConfiguration(1, 60_000, List.of(route), Map.of()),
@@ -131,6 +136,9 @@
   }
 
   private static final class NoAgentActions implements AgentActions {
+    @Override
+    public void checkTarget() {}
+
     @Override
     public void deliver(ByteBuffer datagram) {}
 
