Let a stopping agent tell its peers before its process ends

Change: the process ends when stop() has told. A search that finds nothing names an agent that has not answered.

Test: RealProcessesTest.lostFlowIsResetWithoutWaitingForAnAgentThatHasStoppedAfterItsTarget.

--- a/core/src/main/java/io/moorstage/core/transparent/Evacuations.java
+++ b/core/src/main/java/io/moorstage/core/transparent/Evacuations.java
@@ -58,10 +58,10 @@
     }
     Map<String, ZoneEvacuation> changed = new HashMap<>(byZone);
     for (ZoneEvacuation change : changes) {
-      changed.merge(
-          change.zone(),
-          change,
-          (known, next) -> next.revision() > known.revision() ? next : known);
+      ZoneEvacuation known = changed.get(change.zone());
+      if (known == null || change.revision() > known.revision()) {
+        changed.put(change.zone(), change);
+      }
     }
     return new Evacuations(changed);
   }
@@ -101,8 +101,12 @@
 
   /** Returns the changes after a revision. */
   Evacuations since(long knownRevision) {
-    List<ZoneEvacuation> newer =
-        byZone.values().stream().filter(known -> known.revision() > knownRevision).toList();
+    List<ZoneEvacuation> newer = new ArrayList<>(0);
+    for (ZoneEvacuation known : byZone.values()) {
+      if (known.revision() > knownRevision) {
+        newer.add(known);
+      }
+    }
     return of(newer);
   }
 
--- a/core/src/main/java/io/moorstage/core/transparent/FlowLocator.java
+++ b/core/src/main/java/io/moorstage/core/transparent/FlowLocator.java
@@ -344,7 +344,8 @@
       location.deadlineMs = nowMs + policy.searchPauseMs();
       return;
     } else {
-      log.decided(Decision.NOT_FOUND, flow.id, 0, "nobody-knows", tables.ageOfState(nowMs));
+      int absent = location.absent.isEmpty() ? 0 : location.absent.get(0).address();
+      log.decided(Decision.NOT_FOUND, flow.id, absent, "nobody-knows", tables.ageOfState(nowMs));
       // What has returned a segment is not offered another one when the client repeats it.
       endLocation(flow);
       flow.unfound = true;
--- a/core/src/main/java/io/moorstage/core/transparent/TargetPool.java
+++ b/core/src/main/java/io/moorstage/core/transparent/TargetPool.java
@@ -69,7 +69,12 @@
 
   /** Returns whether there are targets, and the zones of all of them are evacuated. */
   boolean isEvacuated() {
-    return !slots.isEmpty() && slots.stream().allMatch(TargetSlot::isEvacuated);
+    for (TargetSlot slot : slots) {
+      if (!slot.isEvacuated()) {
+        return false;
+      }
+    }
+    return !slots.isEmpty();
   }
 
   /**
@@ -86,7 +91,12 @@
 
   /** Returns whether some targets take no new flow just because they are cold. */
   boolean isRefusing(long nowMs) {
-    return slots.stream().anyMatch(slot -> slot.takesNewFlows() && slot.isRefusing(nowMs));
+    for (TargetSlot slot : slots) {
+      if (slot.takesNewFlows() && slot.isRefusing(nowMs)) {
+        return true;
+      }
+    }
+    return false;
   }
 
   /** Returns the target at an address, or null if none is known there. */
--- a/forwarding/src/main/java/io/moorstage/forwarding/AgentDaemon.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/AgentDaemon.java
@@ -59,6 +59,7 @@
   private UdpPort peerPort;
   private UdpPort targetPort;
   private volatile boolean stopping;
+  private volatile boolean stopped;
   private volatile boolean fleetHeard;
   private volatile byte[] stateCopy;
   private volatile long copyRevision;
@@ -142,7 +143,7 @@
     long nextSweepMs = 0;
     boolean serving = false;
     long startedAtMs = MonotonicClock.nowMs();
-    while (!stopping) {
+    while (!stopped) {
       Thread.sleep(TICK_MS);
       long nowMs = MonotonicClock.nowMs();
       agent.onTick(nowMs);
@@ -176,6 +177,8 @@
       sendBeacon(last, balancer);
     }
     log.event("stopping", "flows", agent.flowCount());
+    // Only now: the process ends with the loop that looks at this, and not before it has told.
+    stopped = true;
   }
 
   private void onPeerState(int peerAddress, byte[] encoded) throws StateSourceException {
--- a/forwarding/src/main/java/io/moorstage/forwarding/StateKeeper.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/StateKeeper.java
@@ -74,7 +74,12 @@
   }
 
   private synchronized boolean isInGap(long revision) {
-    return gaps.stream().anyMatch(gap -> gap.holds(revision));
+    for (Gap gap : gaps) {
+      if (gap.holds(revision)) {
+        return true;
+      }
+    }
+    return false;
   }
 
   void apply(StateChanges changes, long nowMs) {
