--- a/core/src/main/java/io/moorstage/core/transparent/Decision.java
+++ b/core/src/main/java/io/moorstage/core/transparent/Decision.java
@@ -34,6 +34,8 @@
   DELIVERED,
   /** An agent gave a segment back to its balancer. */
   GAVE_BACK,
+  /** A target gets no new flow for a while, as the request of a flow has shown. */
+  TARGET_UNFIT,
   /** A target returned a segment to its agent. */
   RETURNED,
   /** A malformed datagram was dropped. */
--- a/core/src/main/java/io/moorstage/core/transparent/FlowAgent.java
+++ b/core/src/main/java/io/moorstage/core/transparent/FlowAgent.java
@@ -338,8 +338,9 @@
   // A target closes after its answer, or without one if its client has given the request up.
   private void noteTargetEnd(AgentFlow flow, Segment segment, long nowMs) {
     if (segment.kind() == Segment.Kind.CLOSE || segment.kind() == Segment.Kind.RESET) {
-      if (flow.busy && !flow.closed) {
-        fitness.failed(nowMs);
+      if (flow.busy && !flow.closed && fitness.failed(nowMs)) {
+        long ageMs = nowMs - flow.busySinceMs;
+        log.decided(Decision.TARGET_UNFIT, flow.id, flow.balancerAddress, "broken-off", ageMs);
       }
       flow.closed = true;
       setBusy(flow, false, nowMs);
@@ -453,7 +454,7 @@
   /** Handles what is due; called every few tens of milliseconds. */
   public synchronized void onTick(long nowMs) {
     giveBackUnanswered(nowMs);
-    fitness.onTick(gate.oldestSinceMs(), watch.meanAnswerMs(), nowMs);
+    noticeStall(nowMs);
     if (watch.takeCheck(nowMs)) {
       actions.checkTarget();
     }
@@ -468,6 +469,14 @@
     }
   }
 
+  private void noticeStall(long nowMs) {
+    AgentFlow oldest = gate.oldest();
+    if (oldest != null && fitness.noticeStall(oldest.busySinceMs, watch.meanAnswerMs(), nowMs)) {
+      long ageMs = nowMs - oldest.busySinceMs;
+      log.decided(Decision.TARGET_UNFIT, oldest.id, oldest.balancerAddress, "stalled", ageMs);
+    }
+  }
+
   private void giveBackUnanswered(long nowMs) {
     while (!opening.isEmpty()) {
       AgentFlow flow = opening.peek();
--- a/core/src/main/java/io/moorstage/core/transparent/RequestGate.java
+++ b/core/src/main/java/io/moorstage/core/transparent/RequestGate.java
@@ -76,15 +76,16 @@
     return null;
   }
 
-  /** Returns since when the oldest request has been in progress; negative if there is none. */
-  long oldestSinceMs() {
+  /** Returns the flow whose request has been in progress for longest, or null if there is none. */
+  @Nullable
+  AgentFlow oldest() {
     for (AgentFlow flow = begun.peekFirst(); flow != null; flow = begun.peekFirst()) {
       if (flow.busy) {
-        return flow.busySinceMs;
+        return flow;
       }
       begun.pollFirst();
     }
-    return -1;
+    return null;
   }
 
   void ended() {
--- a/core/src/main/java/io/moorstage/core/transparent/TargetFitness.java
+++ b/core/src/main/java/io/moorstage/core/transparent/TargetFitness.java
@@ -48,28 +48,36 @@
     }
   }
 
-  /** The target has broken off a request that its client waits for. */
-  void failed(long nowMs) {
+  /**
+   * The target has broken off a request that its client waits for.
+   *
+   * @return whether the target is out of use by that
+   */
+  boolean failed(long nowMs) {
     failuresInRow++;
-    if (state == State.PROBING || state == State.FIT && failuresInRow >= FAILURES_IN_ROW) {
+    boolean ejects =
+        state == State.PROBING || state == State.FIT && failuresInRow >= FAILURES_IN_ROW;
+    if (ejects) {
       eject(nowMs);
     }
+    return ejects;
   }
 
   /**
    * Notices a target that has stalled.
    *
-   * @param oldestSinceMs since when the oldest request has been in progress; negative for none
+   * @param oldestSinceMs since when the oldest request has been in progress
    * @param meanAnswerMs how long requests take in the mean
+   * @return whether the target is out of use by that
    */
-  void onTick(long oldestSinceMs, double meanAnswerMs, long nowMs) {
-    if (oldestSinceMs < 0 || state == State.EJECTED) {
-      return;
-    }
+  boolean noticeStall(long oldestSinceMs, double meanAnswerMs, long nowMs) {
     long quietMs = nowMs - Math.max(answeredAtMs, oldestSinceMs);
-    if (quietMs > Math.max(MIN_STALL_MS, STALL_IN_ANSWER_TIMES * meanAnswerMs)) {
+    boolean quiet = quietMs > Math.max(MIN_STALL_MS, STALL_IN_ANSWER_TIMES * meanAnswerMs);
+    boolean ejects = quiet && state != State.EJECTED;
+    if (ejects) {
       eject(nowMs);
     }
+    return ejects;
   }
 
   private void eject(long nowMs) {
