--- a/core/src/main/java/io/moorstage/core/transparent/AgentFlow.java
+++ b/core/src/main/java/io/moorstage/core/transparent/AgentFlow.java
@@ -41,6 +41,11 @@
   /** The sequence number up to which the client has the target's data: a reset has to be near. */
   int acknowledged;
 
+  /** The sequence number behind the target's data, as far as it has been seen. */
+  int targetSequence;
+
+  boolean targetSequenceKnown;
+
   /** Whether the target has sent data since the agent knows the flow. */
   boolean answered;
 
--- a/core/src/main/java/io/moorstage/core/transparent/FlowAgent.java
+++ b/core/src/main/java/io/moorstage/core/transparent/FlowAgent.java
@@ -337,13 +337,31 @@
 
   // A target closes after its answer, or without one if its client has given the request up.
   private void noteTargetEnd(AgentFlow flow, Segment segment, long nowMs) {
-    if (segment.kind() == Segment.Kind.CLOSE || segment.kind() == Segment.Kind.RESET) {
-      if (flow.busy && !flow.closed && fitness.failed(nowMs)) {
-        long ageMs = nowMs - flow.busySinceMs;
-        log.decided(Decision.TARGET_UNFIT, flow.id, flow.balancerAddress, "broken-off", ageMs);
-      }
-      flow.closed = true;
-      setBusy(flow, false, nowMs);
+    boolean ends = segment.kind() == Segment.Kind.CLOSE || segment.kind() == Segment.Kind.RESET;
+    if (!ends) {
+      return;
+    }
+    boolean brokenOff = flow.busy && !flow.closed && !comesBehindData(flow, segment);
+    if (brokenOff && fitness.failed(nowMs)) {
+      long ageMs = nowMs - flow.busySinceMs;
+      log.decided(Decision.TARGET_UNFIT, flow.id, flow.balancerAddress, "broken-off", ageMs);
+    }
+    flow.closed = true;
+    setBusy(flow, false, nowMs);
+  }
+
+  // The short closing segment overtakes the answer now and then; its sequence number tells.
+  private static boolean comesBehindData(AgentFlow flow, Segment segment) {
+    boolean behind = segment.sequence() - flow.targetSequence > 0;
+    return segment.kind() == Segment.Kind.CLOSE && (!flow.targetSequenceKnown || behind);
+  }
+
+  private static void noteTargetData(AgentFlow flow, Segment segment) {
+    int opening = segment.kind() == Segment.Kind.OPEN_ACCEPTED ? 1 : 0;
+    int end = segment.sequence() + segment.dataBytes() + opening;
+    if (!flow.targetSequenceKnown || end - flow.targetSequence > 0) {
+      flow.targetSequence = end;
+      flow.targetSequenceKnown = true;
     }
   }
 
@@ -392,6 +410,7 @@
       setBusy(flow, false, nowMs);
     }
     noteTargetEnd(flow, segment, nowMs);
+    noteTargetData(flow, segment);
   }
 
   private void returned(AgentFlow flow, Segment segment, ByteBuffer datagram, long nowMs) {
--- a/core/src/test/java/io/moorstage/core/transparent/FlowAgentTargetTest.java
+++ b/core/src/test/java/io/moorstage/core/transparent/FlowAgentTargetTest.java
@@ -117,6 +117,28 @@
     assertThat(givenBackAsUnfit()).isEqualTo(1);
   }
 
+  // The closing segment is short, and came before the answer in half of all cases.
+  @Test
+  void closeThatOvertakesTheAnswerDoesNotCountAgainstTheTarget() {
+    for (int port = 1; port <= 5; port++) {
+      openFlow(port);
+      forwarded(Fleet.data(Fleet.flow(port), 101, 10));
+      fromTarget(Fleet.close(Fleet.flow(port), 102));
+      fromTarget(Fleet.data(Fleet.flow(port), 2, 100));
+    }
+    assertThat(agent.isTargetUnfit()).isFalse();
+  }
+
+  @Test
+  void closeWithoutAnAnswerCountsAgainstTheTarget() {
+    for (int port = 1; port <= 3; port++) {
+      openFlow(port);
+      forwarded(Fleet.data(Fleet.flow(port), 101, 10));
+      fromTarget(Fleet.close(Fleet.flow(port), 2));
+    }
+    assertThat(agent.isTargetUnfit()).isTrue();
+  }
+
   @Test
   void targetThatAnswersInBetweenStaysInUse() {
     for (int port = 1; port <= 20; port += 2) {
