--- a/core/src/main/java/io/moorstage/core/transparent/AgentDirectory.java
+++ b/core/src/main/java/io/moorstage/core/transparent/AgentDirectory.java
@@ -2,9 +2,7 @@
 
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
-import java.util.Set;
 import javax.annotation.Nullable;
 
 /**
@@ -27,9 +25,6 @@
   /** For each agent that has not been heard from since it was asked: when that was. */
   private final Map<Integer, Long> unansweredSinceMs = new HashMap<>();
 
-  /** Agents that have answered last that their target started beside them. */
-  private final Set<Integer> besideNewTargets = new HashSet<>();
-
   /** For each agent that has said last that its target's process has ended: since when. */
   private final Map<Integer, Long> endedSinceMs = new HashMap<>();
 
@@ -85,19 +80,9 @@
     unansweredSinceMs.putIfAbsent(agentAddress, nowMs);
   }
 
-  /** An agent has answered a question; one that is UNLIKELY to hold a flow has a new target. */
-  void answered(int agentAddress, FlowKnowledge knowledge) {
+  /** An agent has answered a question. */
+  void answered(int agentAddress) {
     unansweredSinceMs.remove(agentAddress);
-    if (knowledge == FlowKnowledge.UNLIKELY) {
-      besideNewTargets.add(agentAddress);
-    } else {
-      besideNewTargets.remove(agentAddress);
-    }
-  }
-
-  /** Returns whether an agent has answered last that its target started beside it. */
-  boolean hasNewTarget(int agentAddress) {
-    return besideNewTargets.contains(agentAddress);
   }
 
   /** Returns whether an agent has sent a beacon of late. */
@@ -149,7 +134,6 @@
     int memoryMs = policy.goneMemoryMs();
     heardAgents.values().removeIf(agent -> nowMs - agent.heardAtMs() > memoryMs);
     endedSinceMs.values().removeIf(sinceMs -> nowMs - sinceMs > memoryMs);
-    besideNewTargets.retainAll(heardAgents.keySet());
     unansweredSinceMs.values().removeIf(sinceMs -> nowMs - sinceMs > memoryMs);
   }
 }
--- a/core/src/main/java/io/moorstage/core/transparent/FlowLocator.java
+++ b/core/src/main/java/io/moorstage/core/transparent/FlowLocator.java
@@ -224,7 +224,7 @@
   /** Takes an answer of an agent or another balancer about a flow. */
   void onKnowledge(
       int peerAddress, FlowId id, FlowKnowledge knowledge, int targetAddress, long nowMs) {
-    tables.agents().answered(peerAddress, knowledge);
+    tables.agents().answered(peerAddress);
     BalancerFlow flow = tables.flow(id);
     if (flow == null || flow.location == null) {
       if (flow != null && flow.endedLocation != null && knowledge == FlowKnowledge.HELD) {
@@ -285,7 +285,7 @@
     if (slot == null) {
       return;
     }
-    if (mayHold && !flow.denied.contains(agentAddress)) {
+    if (mayHold) {
       location.candidates.add(slot);
     }
     if (location.unanswered.isEmpty() && !location.toAsk.isEmpty()) {
@@ -334,7 +334,7 @@
   // Each agent has answered for its target, or the target itself has returned a segment: if that
   // holds for all, no target holds the flow, and a reset lets the client try again at once.
   private void notFound(BalancerFlow flow, Location location, long nowMs) {
-    boolean learned = hasLearned(nowMs) || areAllTargetsNew(location);
+    boolean learned = nowMs - tables.startedAtMs() > policy.learnMs();
     boolean heldByNone = location.absent.isEmpty() && location.candidates.isEmpty();
     if (heldByNone && learned) {
       log.decided(Decision.RESET_LOST, flow.id, 0, "held-by-none", tables.ageOfState(nowMs));
@@ -355,26 +355,6 @@
     tables.forget(flow);
   }
 
-  // A balancer that has started may not have heard yet of a target that the source no longer lists,
-  // and that still serves.
-  private boolean hasLearned(long nowMs) {
-    return nowMs - tables.startedAtMs() > policy.learnMs();
-  }
-
-  // After a loss of all machines there is no such target, and clients need not wait: on a day with
-  // such a loss, 840 requests waited for their reset until 1.2 s after the balancers' start.
-  private boolean areAllTargetsNew(Location location) {
-    return newTargets(location) == location.byLikelihood.size();
-  }
-
-  private int newTargets(Location location) {
-    int count = 0;
-    for (int address : location.byLikelihood) {
-      count += tables.agents().hasNewTarget(address) ? 1 : 0;
-    }
-    return count;
-  }
-
   private static TargetSlot likeliest(Location location) {
     TargetSlot likeliest = location.candidates.get(0);
     for (TargetSlot slot : location.candidates) {
@@ -415,30 +395,13 @@
     }
   }
 
-  // Agents that did not know yet that their target is new may do so now, if most others are.
-  private void addThoseOfOldTargets(BalancerFlow flow) {
-    Location location = flow.location;
-    if (newTargets(location) * 2 < location.byLikelihood.size()) {
-      return;
-    }
-    for (int address : location.byLikelihood) {
-      TargetSlot slot = tables.slotAt(flow, address);
-      if (slot != null && !tables.agents().hasNewTarget(address)) {
-        location.toAsk.add(slot);
-      }
-    }
-  }
-
   // A question or its answer may have been lost, and an agent may have been away for a moment.
   private void askAgain(BalancerFlow flow, long nowMs) {
     Location location = flow.location;
     List<TargetSlot> absent = List.copyOf(location.absent);
     location.absent.clear();
     location.toAsk.addAll(absent);
-    if (absent.isEmpty() && !hasLearned(nowMs)) {
-      addThoseOfOldTargets(flow);
-    }
-    askNext(flow, location.toAsk.size(), nowMs);
+    askNext(flow, absent.size(), nowMs);
     if (location.unanswered.isEmpty()) {
       offerNext(flow, nowMs);
     }
--- a/core/src/test/java/io/moorstage/core/transparent/FlowLocatorTest.java
+++ b/core/src/test/java/io/moorstage/core/transparent/FlowLocatorTest.java
@@ -273,54 +273,6 @@
     assertThat(actions.last()).isEqualTo(holder);
   }
 
-  private void startBalancerNow() {
-    balancer = new FlowBalancer(Fleet.POLICY, Fleet.ZONE, actions, DecisionLog.NONE, nowMs);
-    balancer.onState(Fleet.state(5, targets.toArray(new TargetRecord[0])), nowMs);
-    hearAllBut(0);
-  }
-
-  // 840 requests waited for it until the balancers had run for 1.2 s.
-  @Test
-  void balancerThatHasJustStartedResetsALostFlowAtOnceWhereAllTargetsHaveStartedAnew() {
-    startBalancerNow();
-    clientGoesOn();
-    answerAllBy(FlowKnowledge.UNLIKELY);
-    returnOffers(0);
-    assertThat(actions.reset).containsExactly(FLOW);
-  }
-
-  // A target that is no longer listed may serve on beside one that has run for long.
-  @Test
-  void balancerThatHasJustStartedResetsNoFlowWhereATargetHasRunForLong() {
-    startBalancerNow();
-    int old = addressesByRank().get(LOW_RANK);
-    clientGoesOn();
-    for (int passedMs = 0; passedMs < Fleet.POLICY.learnMs(); passedMs += 20) {
-      answerAllBut(old, FlowKnowledge.UNLIKELY);
-      balancer.onKnowledge(old, FLOW, FlowKnowledge.NOT_HELD, old, nowMs);
-      returnOffers(0);
-      nowMs += 20;
-      balancer.onTick(nowMs);
-    }
-    assertThat(actions.reset).isEmpty();
-  }
-
-  @Test
-  void agentThatLearnsOnlyLaterThatItsTargetIsNewIsAskedOnceMore() {
-    startBalancerNow();
-    int late = addressesByRank().get(LOW_RANK);
-    clientGoesOn();
-    answerAllBut(late, FlowKnowledge.UNLIKELY);
-    balancer.onKnowledge(late, FLOW, FlowKnowledge.UNKNOWN, late, nowMs);
-    returnOffers(0);
-    assertThat(actions.reset).isEmpty();
-    nowMs += Fleet.POLICY.searchPauseMs();
-    balancer.onTick(nowMs);
-    answerAllBy(FlowKnowledge.UNLIKELY);
-    assertThat(actions.reset).containsExactly(FLOW);
-    assertThat(actions.forwardedTo).containsNoDuplicates();
-  }
-
   // After a recovery one agent a second stopped, each time with its target: for 6 s no search came
   // to an end, and 266 requests failed by their deadline.
   @Test
