--- a/core/src/main/java/io/moorstage/core/transparent/AgentFlow.java
+++ b/core/src/main/java/io/moorstage/core/transparent/AgentFlow.java
@@ -70,4 +70,36 @@
     this.openedAtMs = nowMs;
     this.lastUsedMs = nowMs;
   }
+
+  /**
+   * Notes how far the client's data has come; returns whether the segment brings any that is new.
+   */
+  boolean noteClientData(Segment segment) {
+    int end = segment.sequence() + segment.dataBytes();
+    boolean isNew = !clientSequenceKnown || end - clientSequence > 0;
+    if (isNew) {
+      clientSequence = end;
+      clientSequenceKnown = true;
+    }
+    return isNew;
+  }
+
+  /** Notes how far the target's data has come. */
+  void noteTargetData(Segment segment) {
+    int opening = segment.kind() == Segment.Kind.OPEN_ACCEPTED ? 1 : 0;
+    int end = segment.sequence() + segment.dataBytes() + opening;
+    if (!targetSequenceKnown || end - targetSequence > 0) {
+      targetSequence = end;
+      targetSequenceKnown = true;
+    }
+  }
+
+  /**
+   * Returns whether the target has, or may have, sent data before a segment that ends the flow: the
+   * short closing segment overtakes the answer now and then, and its sequence number tells.
+   */
+  boolean comesBehindData(Segment end) {
+    boolean behind = end.sequence() - targetSequence > 0;
+    return end.kind() == Segment.Kind.CLOSE && (!targetSequenceKnown || behind);
+  }
 }
--- a/core/src/main/java/io/moorstage/core/transparent/TargetFitness.java
+++ b/core/src/main/java/io/moorstage/core/transparent/TargetFitness.java
@@ -20,10 +20,12 @@
   private static final int MAX_DOUBLINGS = 2;
 
   /** Without an answer for so long, with requests in progress, a target has stalled ... */
-  private static final int MIN_STALL_MS = 250;
+  private static final int MIN_STALL_MS = 400;
 
-  /** ... unless its requests usually take long. */
-  private static final int STALL_IN_ANSWER_TIMES = 8;
+  /**
+   * ... unless its requests take long: up to six times their mean, and 1.6 times that when cold.
+   */
+  private static final int STALL_IN_ANSWER_TIMES = 10;
 
   private enum State {
     FIT,
--- a/core/src/main/java/io/moorstage/core/transparent/TargetWatch.java
+++ b/core/src/main/java/io/moorstage/core/transparent/TargetWatch.java
@@ -51,7 +51,8 @@
 
   /** A request was answered after some time. */
   void answered(long afterMs) {
-    meanAnswerMs += AVERAGING * (afterMs - meanAnswerMs);
+    meanAnswerMs =
+        meanAnswerMs == 0 ? afterMs : meanAnswerMs + AVERAGING * (afterMs - meanAnswerMs);
   }
 
   /** Returns how long requests take in the mean. */
