--- a/forwarding/src/main/java/io/moorstage/forwarding/source/SourceFollower.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/source/SourceFollower.java
@@ -171,6 +171,10 @@
   private void step() throws StateSourceException {
     if (!complete) {
       FleetState reading = source.readAll();
+      // A reading below the known revision is passed over: whoever looks for a change that never
+      // came into force has to see that.
+      log.event(
+          "state-from-source", "revision", reading.revision(), "before", keeper.state().revision());
       keeper.replaceBy(reading, MonotonicClock.nowMs());
       complete = true;
     } else {
