Bring a late opening at a leaving target about: the source comes back from an older copy

Cause, as the test shows it: what stands at a revision that was given out before is taken for known.

The stand-in store can be copied and come back from the copy, and names its era in all answers.

--- a/lab/src/main/java/io/moorstage/lab/store/StandInStore.java
+++ b/lab/src/main/java/io/moorstage/lab/store/StandInStore.java
@@ -3,6 +3,7 @@
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
 import io.moorstage.lab.edge.StoreCall;
+import io.moorstage.lab.edge.StoreHeaders;
 import io.moorstage.lab.edge.StoreItem;
 import io.moorstage.lab.edge.StoreJson;
 import java.io.IOException;
@@ -40,8 +41,12 @@
   private final List<StoreItem> history = new ArrayList<>();
   private long revision = FIRST_REVISION;
   private long historySince = FIRST_REVISION;
+  private int era = 1;
   private volatile StoreMode mode = StoreMode.SERVING;
 
+  /** What a call is answered, and the era that it is true of; without a body, history is gone. */
+  private record Told(int era, @Nullable String body) {}
+
   /**
    * Starts an empty store.
    *
@@ -98,6 +103,25 @@
     notifyAll();
   }
 
+  /** Returns a copy of all items, to come back from later. */
+  public synchronized StoreCopy copy() {
+    return new StoreCopy(new TreeMap<>(items), revision);
+  }
+
+  /**
+   * Comes back from a copy, in the next era: what was written since is gone, its revisions are
+   * given out again, and a watch from one that the copy does not have is told that history is gone.
+   */
+  public synchronized void restore(StoreCopy copy) {
+    items.clear();
+    items.putAll(copy.items());
+    revision = copy.revision();
+    history.clear();
+    historySince = revision;
+    era++;
+    notifyAll();
+  }
+
   /** Forgets the history: watches that go on from before are told so. */
   public synchronized void compact() {
     history.clear();
@@ -109,13 +133,13 @@
     try {
       StoreMode now = mode;
       if (now == StoreMode.BUSY) {
-        send(exchange, UNAVAILABLE, null);
+        send(exchange, UNAVAILABLE, inEra(null));
         return;
       }
       delay(now);
       StoreCall call = StoreCall.of(exchange.getRequestURI());
-      String body = now == StoreMode.RETELLING ? retell(call) : tell(call);
-      send(exchange, body == null ? GONE : OK, body);
+      Told told = now == StoreMode.RETELLING ? retell(call) : tell(call);
+      send(exchange, told.body() == null ? GONE : OK, told);
     } catch (InterruptedException e) {
       // The store is being closed; the caller's connection ends without an answer.
       Thread.currentThread().interrupt();
@@ -132,39 +156,46 @@
     }
   }
 
-  private static void send(HttpExchange exchange, int status, @Nullable String body)
-      throws IOException {
+  private static void send(HttpExchange exchange, int status, Told told) throws IOException {
+    String body = told.body();
     byte[] bytes = body == null ? new byte[0] : body.getBytes(StandardCharsets.UTF_8);
+    exchange.getResponseHeaders().set(StoreHeaders.ERA, Integer.toString(told.era()));
     exchange.sendResponseHeaders(status, bytes.length == 0 ? -1 : bytes.length);
     try (OutputStream out = exchange.getResponseBody()) {
       out.write(bytes);
     }
   }
 
-  private String retell(StoreCall call) throws InterruptedException {
+  private synchronized Told inEra(@Nullable String body) {
+    return new Told(era, body);
+  }
+
+  private Told retell(StoreCall call) throws InterruptedException {
     if (call.watch()) {
       Thread.sleep(RETELLING_PAUSE_MS);
     }
     synchronized (this) {
-      return call.watch()
-          ? StoreJson.events(history, revision)
-          : StoreJson.range(history, revision);
+      return inEra(
+          call.watch() ? StoreJson.events(history, revision) : StoreJson.range(history, revision));
     }
   }
 
-  @Nullable
-  private synchronized String tell(StoreCall call) throws InterruptedException {
-    return call.watch() ? watch(call) : StoreJson.range(List.copyOf(items.values()), revision);
+  private synchronized Told tell(StoreCall call) throws InterruptedException {
+    return inEra(
+        call.watch() ? watch(call) : StoreJson.range(List.copyOf(items.values()), revision));
   }
 
-  /** Returns null if the history that the caller asks for is gone. */
+  /** Returns null if the history that the caller asks for is gone, or was never there. */
   @Nullable
   private synchronized String watch(StoreCall call) throws InterruptedException {
     long deadlineMs = System.currentTimeMillis() + call.waitMs();
-    while (revision <= call.afterRevision() && System.currentTimeMillis() < deadlineMs) {
+    int askedEra = era;
+    while (era == askedEra
+        && revision == call.afterRevision()
+        && System.currentTimeMillis() < deadlineMs) {
       wait(Math.max(1, deadlineMs - System.currentTimeMillis()));
     }
-    if (call.afterRevision() < historySince) {
+    if (call.afterRevision() < historySince || call.afterRevision() > revision) {
       return null;
     }
     List<StoreItem> events = new ArrayList<>();
--- a/lab/src/test/java/io/moorstage/lab/process/TestEntries.java
+++ b/lab/src/test/java/io/moorstage/lab/process/TestEntries.java
@@ -16,10 +16,14 @@
   private TestEntries() {}
 
   static String configuration() {
+    return configuration(2);
+  }
+
+  static String configuration(long version) {
     List<WeightedService> services = List.of(new WeightedService("tables", 1));
     ForwardingRoute route = new ForwardingRoute(SERVICE, SERVICE_PORT, 3_000, true, services);
     return StoreJson.configuration(
-        new ForwardingConfiguration(2, 60_000, List.of(route), Map.of()));
+        new ForwardingConfiguration(version, 60_000, List.of(route), Map.of()));
   }
 
   static String target(String host, boolean draining) {
--- a/lab/src/test/java/io/moorstage/lab/store/StandInStoreTest.java
+++ b/lab/src/test/java/io/moorstage/lab/store/StandInStoreTest.java
@@ -106,4 +106,15 @@
     store.setMode(StoreMode.RETELLING);
     assertThat(reader.awaitChanges(now, 0).written()).hasSize(1);
   }
+
+  @Test
+  void storeThatHasComeBackFromACopyRefusesAWatchFromARevisionThatItDoesNotHave() throws Exception {
+    store.put(StoreKeys.target("t"), TARGET.entry(false));
+    StoreCopy copy = store.copy();
+    store.remove(StoreKeys.target("t"));
+    long lost = reader.readAll().revision();
+    store.restore(copy);
+    assertThat(failureOf(lost)).isEqualTo(StateSourceFailure.HISTORY_GONE);
+    assertThat(reader.readAll().targets()).hasSize(1);
+  }
 }
