Order what the source says by its era before its revision

Cause: a source that comes back from an older copy gives revisions out again. Nodes ordered everything by the revision alone: what stood at a number that they knew was never taken, neither by the watch, which began after it, nor by complete readings, which were older by their number.

Change: the era that the source names stands above its count in one number, so records, evacuations, states, beacons, peers' questions and agents' copies compare rightly as they are. A changed era begins a complete reading at once; answers of an earlier one are dropped. What the copy lacks stays for 2.5 s, which is the time in which it is written again; a target that has said that it leaves does so for good, and the start of a target that has begun anew under its id is told apart by its time.

--- a/core/src/main/java/io/moorstage/core/agent/OpeningAdmission.java
+++ b/core/src/main/java/io/moorstage/core/agent/OpeningAdmission.java
@@ -34,6 +34,7 @@
   private TargetPhase phase = TargetPhase.READY;
   private boolean evacuated;
   private long revision;
+  private long startNumber;
 
   OpeningAdmission(
       ForwardingPolicy policy,
@@ -55,12 +56,20 @@
       return false;
     }
     revision = report.revision();
-    phase = report.phase();
+    phase = phaseAfter(report);
+    startNumber = report.startNumber();
     evacuated = report.evacuated();
     coldLimit.update(report, nowMs);
     return true;
   }
 
+  // A balancer that has just started may have read a source that has come back from an older copy,
+  // and report a leaving target as ready until the target has written again.
+  private TargetPhase phaseAfter(TargetReport report) {
+    boolean takesBack = phase == TargetPhase.DRAINING && report.phase() == TargetPhase.READY;
+    return takesBack && report.startNumber() == startNumber ? phase : report.phase();
+  }
+
   TargetPhase phase() {
     return phase;
   }
--- a/core/src/main/java/io/moorstage/core/placement/TargetPools.java
+++ b/core/src/main/java/io/moorstage/core/placement/TargetPools.java
@@ -35,13 +35,14 @@
     return new TargetPools(policy, zone, new HashMap<>(), new HashMap<>());
   }
 
-  /** Returns the pools of a newer state; targets that stay keep their slots. */
+  /** Returns the pools of a newer state; targets that stay in one start keep their slots. */
   public TargetPools update(FleetState state, long nowMs) {
     Map<String, TargetSlot> slots = new HashMap<>();
     Map<String, List<TargetSlot>> members = new HashMap<>();
     for (TargetRecord record : state.targetsByAddress().values()) {
       TargetSlot slot = slotsById.get(record.id());
-      if (slot == null) {
+      if (slot == null || slot.record().startNumber() != record.startNumber()) {
+        // What was learnt of an earlier start says nothing of this one.
         slot = new TargetSlot(record, nowMs);
       } else {
         slot.update(record, nowMs);
--- a/core/src/main/java/io/moorstage/core/state/Evacuations.java
+++ b/core/src/main/java/io/moorstage/core/state/Evacuations.java
@@ -84,21 +84,45 @@
 
   /**
    * Returns these evacuations after a complete state: what is not in force in it has been lifted by
-   * then.
+   * then, unless it is known from an earlier era of the source, and may be written again.
    *
-   * @param readingRevision the source's revision as of which that state is complete
+   * @param readingRevision the source's {@link Revision} as of which that state is complete
    */
   Evacuations replaceBy(Evacuations reading, long readingRevision) {
     Map<String, ZoneEvacuation> changed = new HashMap<>(apply(reading.all()).byZone);
     for (ZoneEvacuation known : List.copyOf(changed.values())) {
       boolean lifted = known.inForce() && !reading.isInForce(known.zone());
-      if (lifted && known.revision() <= readingRevision) {
+      boolean comparable = !Revision.isOfEarlierEra(known.revision(), readingRevision);
+      if (lifted && comparable && known.revision() <= readingRevision) {
         changed.put(known.zone(), new ZoneEvacuation(known.zone(), false, readingRevision));
       }
     }
     return new Evacuations(changed);
   }
 
+  /** Returns whether one in force is known from an earlier era than that of a revision only. */
+  boolean hasUnconfirmed(long revision) {
+    for (ZoneEvacuation known : byZone.values()) {
+      if (isUnconfirmed(known, revision)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private static boolean isUnconfirmed(ZoneEvacuation known, long revision) {
+    return known.inForce() && Revision.isOfEarlierEra(known.revision(), revision);
+  }
+
+  /** Returns these evacuations with those lifted that are known from an earlier era only. */
+  Evacuations withoutUnconfirmed(long revision) {
+    Map<String, ZoneEvacuation> confirmed = new HashMap<>(byZone);
+    confirmed.replaceAll(
+        (zone, known) ->
+            isUnconfirmed(known, revision) ? new ZoneEvacuation(zone, false, revision) : known);
+    return new Evacuations(confirmed);
+  }
+
   /** Returns the changes after a revision. */
   Evacuations since(long knownRevision) {
     List<ZoneEvacuation> newer = new ArrayList<>(0);
--- a/core/src/main/java/io/moorstage/core/state/FleetState.java
+++ b/core/src/main/java/io/moorstage/core/state/FleetState.java
@@ -53,7 +53,7 @@
     return new FleetState(revision, configuration, byId, evacuations);
   }
 
-  /** Returns the source's revision up to which nothing is missing. */
+  /** Returns the source's {@link Revision} up to which nothing is missing. */
   public long revision() {
     return revision;
   }
@@ -97,9 +97,10 @@
     Map<String, TargetRecord> merged = new HashMap<>(targets);
     for (TargetRecord record : other.targets.values()) {
       TargetRecord known = targets.get(record.id());
-      // A record that we no longer hold was forgotten after it had gone: an old copy is no news.
-      long knownRevision = known == null ? revision : known.revision();
-      if (record.revision() > knownRevision || known == null && revision == 0) {
+      if (known != null) {
+        merged.put(record.id(), known.merge(record));
+      } else if (record.revision() > revision || revision == 0) {
+        // A record that we no longer hold was forgotten after it had gone: an old copy is no news.
         merged.put(record.id(), record);
       }
     }
@@ -135,6 +136,9 @@
    * Returns this state after a complete one, a reading of the source or what a peer holds: what is
    * newer is taken over, and targets that it does not list are gone, as are evacuations. A target
    * that it holds as gone is not listed in it.
+   *
+   * <p>What was known in an earlier era of the source than that of the reading stays: the source
+   * has come back from an older copy and may get it written again, see {@link #withoutUnconfirmed}.
    */
   public FleetState replaceBy(FleetState reading) {
     if (reading.revision < revision) {
@@ -154,19 +158,51 @@
   /** Returns whether a target that another state lists has ended as of this one. */
   private boolean isUnlisted(TargetRecord other) {
     TargetRecord known = targets.get(other.id());
-    boolean listed = known != null && known.phase() != TargetPhase.GONE;
-    return !listed && other.phase() != TargetPhase.GONE && other.revision() <= revision;
+    boolean listed = known != null && known.isListed();
+    boolean comparable = !Revision.isOfEarlierEra(other.revision(), revision);
+    return !listed && other.isListed() && comparable && other.revision() <= revision;
+  }
+
+  /**
+   * Returns whether something is known from an earlier era only: a target that is listed, or an
+   * evacuation in force, that nobody has seen in the source since it came back from an older copy.
+   */
+  public boolean hasUnconfirmed() {
+    for (TargetRecord target : targets.values()) {
+      if (isUnconfirmed(target)) {
+        return true;
+      }
+    }
+    return evacuations.hasUnconfirmed(revision);
+  }
+
+  private boolean isUnconfirmed(TargetRecord target) {
+    return target.isListed() && Revision.isOfEarlierEra(target.revision(), revision);
   }
 
-  /** Returns this state after changes that the source has reported. */
+  /**
+   * Returns this state without what is known from an earlier era only: those targets are gone and
+   * those evacuations lifted, since nobody has written them again.
+   */
+  public FleetState withoutUnconfirmed() {
+    Map<String, TargetRecord> confirmed = new HashMap<>(targets);
+    confirmed.replaceAll((id, known) -> isUnconfirmed(known) ? known.gone(revision) : known);
+    return new FleetState(
+        revision, configuration, confirmed, evacuations.withoutUnconfirmed(revision));
+  }
+
+  /**
+   * Returns this state after changes that the source has reported; those of an earlier era than the
+   * state's have come too late, and change nothing.
+   */
   public FleetState apply(StateChanges changes) {
+    if (Revision.isOfEarlierEra(changes.revision(), revision)) {
+      return this;
+    }
     Map<String, TargetRecord> changed = new HashMap<>(targets);
     for (TargetRecord written : changes.written()) {
       // The answer may hold several records of one target, in any order.
-      TargetRecord known = changed.get(written.id());
-      if (known == null || written.revision() > known.revision()) {
-        changed.put(written.id(), written);
-      }
+      changed.merge(written.id(), written, TargetRecord::merge);
     }
     for (Map.Entry<String, Long> gone : changes.goneIds().entrySet()) {
       // The record may be one of those that were written a moment earlier.
--- a/core/src/main/java/io/moorstage/core/state/StateChanges.java
+++ b/core/src/main/java/io/moorstage/core/state/StateChanges.java
@@ -7,7 +7,7 @@
 /**
  * What has changed at the configuration source since an earlier revision.
  *
- * @param revision the revision up to which these changes lead
+ * @param revision the source's {@link Revision} up to which these changes lead
  * @param written targets that are new or have changed
  * @param goneIds targets that are no longer listed, with the revision at which they went
  * @param configuration a newer configuration, or null if it has not changed
--- a/core/src/main/java/io/moorstage/core/state/TargetRecord.java
+++ b/core/src/main/java/io/moorstage/core/state/TargetRecord.java
@@ -5,47 +5,117 @@
 /**
  * One start of a target, as the configuration source lists it.
  *
- * @param id names this start of the target; another start has another id
+ * @param id names the target; together with its start, where the source tells it, this start
+ * @param startedAtMs when this start began, in Unix milliseconds; 0 if the source does not tell,
+ *     and then another start has another id
  * @param service name of the service
  * @param address IPv4 address of the machine, where the target's agent runs too
  * @param zone name of the zone
  * @param capacity requests that it works on at a time, 1 or more
- * @param phase how far it is in its life
+ * @param phase how far it is in its life; never ready once it has said that it leaves
+ * @param saidLeaving whether this start has said that it leaves, which it can't take back
  * @param slowStartMs for how long after its start it is slow, in milliseconds
- * @param createdRevision the source's revision at which it was listed first, or again after its
- *     entry had lapsed; orders the starts of targets at one address
- * @param revision the source's revision of this record
+ * @param createdRevision the source's {@link Revision} at which it was listed first, or again after
+ *     its entry had lapsed; orders the starts of targets at one address
+ * @param revision the source's {@link Revision} of this record
  */
 public record TargetRecord(
     String id,
+    long startedAtMs,
     String service,
     int address,
     String zone,
     int capacity,
     TargetPhase phase,
+    boolean saidLeaving,
     int slowStartMs,
     long createdRevision,
     long revision) {
 
+  /** Creates a record; one that has said that it leaves is not ready, whatever its phase says. */
+  public TargetRecord {
+    saidLeaving |= phase == TargetPhase.DRAINING;
+    if (saidLeaving && phase == TargetPhase.READY) {
+      phase = TargetPhase.DRAINING;
+    }
+  }
+
+  /** Creates the record of a target whose start the source does not tell. */
+  public TargetRecord(
+      String id,
+      String service,
+      int address,
+      String zone,
+      int capacity,
+      TargetPhase phase,
+      int slowStartMs,
+      long createdRevision,
+      long revision) {
+    this(
+        id,
+        0,
+        service,
+        address,
+        zone,
+        capacity,
+        phase,
+        false,
+        slowStartMs,
+        createdRevision,
+        revision);
+  }
+
   /** Returns a number that names this start of the target, never 0. */
   public long startNumber() {
-    return FlowId.mix(id.hashCode()) | 1;
+    return FlowId.mix(id.hashCode() ^ FlowId.mix(startedAtMs)) | 1;
+  }
+
+  /** Returns whether the source lists the target. */
+  public boolean isListed() {
+    return phase != TargetPhase.GONE;
   }
 
   /** Returns this record as of a later revision at which the source no longer lists it. */
   public TargetRecord gone(long atRevision) {
+    return with(TargetPhase.GONE, saidLeaving, atRevision);
+  }
+
+  private TargetRecord with(TargetPhase otherPhase, boolean leaving, long atRevision) {
     return new TargetRecord(
         id,
+        startedAtMs,
         service,
         address,
         zone,
         capacity,
-        TargetPhase.GONE,
+        otherPhase,
+        leaving,
         slowStartMs,
         createdRevision,
         atRevision);
   }
 
+  /**
+   * Returns what is known from this record and another one of the same id: that of the later start,
+   * or of one start the newer.
+   *
+   * <p>A start does not take back that it leaves. A source that has come back from an older copy
+   * lists it as ready until it has written again, and new flows would go to it meanwhile. Where the
+   * source does not tell starts apart, a newer record of the same era is another start's.
+   */
+  TargetRecord merge(TargetRecord other) {
+    boolean comparable = startedAtMs > 0 && other.startedAtMs > 0;
+    if (comparable && startedAtMs != other.startedAtMs) {
+      return other.startedAtMs > startedAtMs ? other : this;
+    }
+    boolean otherIsNewer = other.revision > revision;
+    TargetRecord newer = otherIsNewer ? other : this;
+    TargetRecord older = otherIsNewer ? this : other;
+    boolean isOneStart = comparable || Revision.isOfEarlierEra(older.revision, newer.revision);
+    boolean leaves = isOneStart && older.saidLeaving && !newer.saidLeaving;
+    return leaves ? newer.with(newer.phase, true, newer.revision) : newer;
+  }
+
   /**
    * Returns whether this target has taken the address of another one, of whatever service.
    *
--- a/core/src/main/java/io/moorstage/core/state/ZoneEvacuation.java
+++ b/core/src/main/java/io/moorstage/core/state/ZoneEvacuation.java
@@ -6,6 +6,6 @@
  *
  * @param zone name of the zone
  * @param inForce whether the evacuation is in force; false once it has been lifted
- * @param revision the source's revision of this change
+ * @param revision the source's {@link Revision} of this change
  */
 public record ZoneEvacuation(String zone, boolean inForce, long revision) {}
--- a/core/src/test/java/io/moorstage/core/agent/FlowAgentTargetTest.java
+++ b/core/src/test/java/io/moorstage/core/agent/FlowAgentTargetTest.java
@@ -7,6 +7,7 @@
 import io.moorstage.core.message.FlowKnowledge;
 import io.moorstage.core.message.GiveBackReason;
 import io.moorstage.core.message.TargetReport;
+import io.moorstage.core.state.Revision;
 import io.moorstage.core.state.TargetPhase;
 import org.junit.jupiter.api.Test;
 
@@ -30,6 +31,23 @@
     assertThat(agent.hasTargetEnded()).isTrue();
   }
 
+  // A balancer that has just started has read a source that came back from an older copy.
+  @Test
+  void targetThatLeavesGetsNoNewFlowThoughABalancerReportsItAsReadyAgain() {
+    agent.onTarget(report(TargetPhase.DRAINING, Revision.of(1, 18), 5), nowMs);
+    agent.onTarget(report(TargetPhase.READY, Revision.of(2, 3), 5), nowMs);
+    forwarded(Fleet.open(Fleet.flow(1), 0));
+    assertThat(actions.givenBack).containsExactly(GiveBackReason.LEAVING);
+
+    agent.onTarget(report(TargetPhase.READY, Revision.of(2, 4), 6), nowMs);
+    forwarded(Fleet.open(Fleet.flow(2), 0));
+    assertThat(actions.givenBack).hasSize(1);
+  }
+
+  private static TargetReport report(TargetPhase phase, long revision, long startNumber) {
+    return new TargetReport(revision, phase, false, CAPACITY, startNumber, false, 0, 0);
+  }
+
   @Test
   void flowsOfATargetThatHasEndedAreResetAndNewOnesGoElsewhereAtOnce() {
     openFlow(1);
--- a/forwarding/src/main/java/io/moorstage/forwarding/daemon/AgentDaemon.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/daemon/AgentDaemon.java
@@ -5,6 +5,7 @@
 import io.moorstage.core.flow.SegmentCodec;
 import io.moorstage.core.model.Endpoint;
 import io.moorstage.core.settings.Mechanism;
+import io.moorstage.core.state.Revision;
 import io.moorstage.forwarding.log.EventLog;
 import io.moorstage.forwarding.metrics.ForwardingCounter;
 import io.moorstage.forwarding.metrics.ForwardingGauge;
@@ -95,8 +96,10 @@
     metrics.gauge(ForwardingGauge.FLOWS, agent::flowCount);
     metrics.gauge(ForwardingGauge.REQUESTS, agent::busyFlows);
     metrics.gauge(ForwardingGauge.BALANCERS, () -> balancers.liveCount(MonotonicClock.nowMs()));
-    metrics.gauge(ForwardingGauge.STATE_REVISION, copy::revision);
+    metrics.gauge(ForwardingGauge.STATE_REVISION, () -> Revision.count(copy.revision()));
+    metrics.gauge(ForwardingGauge.STATE_ERA, () -> Revision.era(copy.revision()));
     metrics.gauge(ForwardingGauge.UNUSABLE_ITEMS, source::unusableItems);
+    metrics.gauge(ForwardingGauge.ANSWERS_WITHOUT_ERA, source::answersWithoutEra);
     metrics.gauge(ForwardingGauge.LINES_LEFT_OUT, log::linesLeftOut);
   }
 
--- a/forwarding/src/main/java/io/moorstage/forwarding/daemon/AgentMessages.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/daemon/AgentMessages.java
@@ -7,6 +7,7 @@
 import io.moorstage.core.message.FlowKnowledge;
 import io.moorstage.core.message.TargetReport;
 import io.moorstage.core.model.Endpoint;
+import io.moorstage.core.state.Revision;
 import io.moorstage.forwarding.log.EventLog;
 import io.moorstage.forwarding.metrics.ForwardingMetrics;
 import io.moorstage.forwarding.peer.PeerDirectory;
@@ -120,7 +121,7 @@
         "zone-evacuated",
         target.evacuated(),
         "revision",
-        target.revision(),
+        Revision.text(target.revision()),
         "told-by",
         Endpoint.of(balancer, 0).host());
   }
--- a/forwarding/src/main/java/io/moorstage/forwarding/daemon/BalancerDaemon.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/daemon/BalancerDaemon.java
@@ -9,6 +9,7 @@
 import io.moorstage.core.settings.ForwardingPolicy;
 import io.moorstage.core.settings.Mechanism;
 import io.moorstage.core.state.FleetState;
+import io.moorstage.core.state.Revision;
 import io.moorstage.core.state.TargetPhase;
 import io.moorstage.core.state.TargetRecord;
 import io.moorstage.forwarding.log.EventLog;
@@ -133,12 +134,14 @@
   private void nameGauges(StateSource source) {
     metrics.gauge(ForwardingGauge.FLOWS, balancer::flowCount);
     metrics.gauge(ForwardingGauge.BALANCERS, () -> balancers.liveCount(MonotonicClock.nowMs()));
-    metrics.gauge(ForwardingGauge.STATE_REVISION, () -> keeper.state().revision());
+    metrics.gauge(ForwardingGauge.STATE_REVISION, () -> Revision.count(keeper.state().revision()));
+    metrics.gauge(ForwardingGauge.STATE_ERA, () -> Revision.era(keeper.state().revision()));
     metrics.gauge(
         ForwardingGauge.CONFIGURATION_VERSION, () -> keeper.state().configuration().version());
     metrics.gauge(ForwardingGauge.STATE_AGE_MS, confirmation::metricAgeMs);
     metrics.gauge(ForwardingGauge.READY_TARGETS, () -> readyTargets(keeper.state()));
     metrics.gauge(ForwardingGauge.UNUSABLE_ITEMS, source::unusableItems);
+    metrics.gauge(ForwardingGauge.ANSWERS_WITHOUT_ERA, source::answersWithoutEra);
     metrics.gauge(ForwardingGauge.LINES_LEFT_OUT, log::linesLeftOut);
   }
 
@@ -203,6 +206,7 @@
       throwEndpointFailure();
       long nowMs = MonotonicClock.nowMs();
       processorLag.ran(nowMs - ranAtMs - TICK_MS);
+      keeper.onTick(nowMs);
       balancer.onTick(nowMs);
       if (beaconTimer.takeIfDue(BalancerBeacons.PERIOD_MS, nowMs)) {
         beacons.sendRegular(keeper.state(), nowMs);
--- a/forwarding/src/main/java/io/moorstage/forwarding/daemon/BalancerReadiness.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/daemon/BalancerReadiness.java
@@ -4,6 +4,7 @@
 import io.moorstage.core.settings.ForwardingPolicy;
 import io.moorstage.core.settings.Mechanism;
 import io.moorstage.core.state.FleetState;
+import io.moorstage.core.state.Revision;
 import io.moorstage.forwarding.log.EventLog;
 import io.moorstage.forwarding.net.HttpEndpoint;
 import io.moorstage.forwarding.peer.BalancerBeacons;
@@ -71,7 +72,7 @@
   void onState(FleetState state) {
     if (!configured && !drain.isStopping() && state.configuration().version() > 0) {
       configured = true;
-      log.event("ready", "revision", state.revision());
+      log.event("ready", "revision", Revision.text(state.revision()));
     }
   }
 
--- a/forwarding/src/main/java/io/moorstage/forwarding/daemon/PeerCatchUp.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/daemon/PeerCatchUp.java
@@ -2,6 +2,7 @@
 
 import io.moorstage.core.model.Endpoint;
 import io.moorstage.core.state.FleetState;
+import io.moorstage.core.state.Revision;
 import io.moorstage.forwarding.log.EventLog;
 import io.moorstage.forwarding.metrics.ForwardingCounter;
 import io.moorstage.forwarding.metrics.ForwardingMetrics;
@@ -92,9 +93,9 @@
         "peer",
         Endpoint.of(peerAddress, 0).host(),
         "revision",
-        peerState.revision(),
+        Revision.text(peerState.revision()),
         "before",
-        ownRevision);
+        Revision.text(ownRevision));
     metrics.count(ForwardingCounter.PEER_STATES);
     if (answer.complete()) {
       keeper.replaceBy(peerState, MonotonicClock.nowMs());
--- a/forwarding/src/main/java/io/moorstage/forwarding/log/StateChangeLog.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/log/StateChangeLog.java
@@ -4,6 +4,7 @@
 import io.moorstage.core.state.FleetState;
 import io.moorstage.core.state.ForwardingConfiguration;
 import io.moorstage.core.state.ForwardingRoute;
+import io.moorstage.core.state.Revision;
 import io.moorstage.core.state.TargetRecord;
 import java.util.ArrayList;
 import java.util.List;
@@ -33,7 +34,7 @@
         "shortest-timeout-ms",
         shortestTimeoutMs(configuration),
         "revision",
-        after.revision());
+        Revision.text(after.revision()));
     return true;
   }
 
@@ -62,7 +63,7 @@
             "slow-ms",
             target.slowStartMs(),
             "revision",
-            target.revision());
+            Revision.text(target.revision()));
       }
     }
     return changed;
@@ -80,7 +81,7 @@
   private void logZones(String event, Set<String> zones, Set<String> others, long revision) {
     for (String zone : zones) {
       if (!others.contains(zone)) {
-        log.event(event, "zone", zone, "revision", revision);
+        log.event(event, "zone", zone, "revision", Revision.text(revision));
       }
     }
   }
@@ -95,6 +96,6 @@
         "at",
         Endpoint.of(target.address(), 0).host(),
         "revision",
-        target.revision());
+        Revision.text(target.revision()));
   }
 }
--- a/forwarding/src/main/java/io/moorstage/forwarding/metrics/ForwardingCounter.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/metrics/ForwardingCounter.java
@@ -17,6 +17,8 @@
   SOURCE_UNREACHABLE("Calls to the source without a connection, or without an answer in time."),
   SOURCE_REFUSED("Calls that the source has refused."),
   SOURCE_HISTORY_GONE("Calls to which the source no longer knew the changes asked for."),
+  SOURCE_ERA_CHANGED("Calls after which all was read anew, as the source had entered another era."),
+  SOURCE_OUTDATED("Answers of the source that were of an earlier era than this node's state."),
   SOURCE_MALFORMED("Answers of the source that were cut off, malformed or too large."),
   PEER_STATES("States taken from another node, since it knew more than this one."),
   TARGET_CHECKS("Agent: connections opened to find out whether the target's process runs.");
--- a/forwarding/src/main/java/io/moorstage/forwarding/source/FirstStateReader.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/source/FirstStateReader.java
@@ -1,6 +1,7 @@
 package io.moorstage.forwarding.source;
 
 import io.moorstage.core.state.FleetState;
+import io.moorstage.core.state.Revision;
 import io.moorstage.forwarding.log.EventLog;
 import io.moorstage.forwarding.state.FleetStateCodec;
 import io.moorstage.forwarding.state.StateSource;
@@ -87,7 +88,7 @@
       // Before anything is configured there is nothing to hand on.
       boolean usable = state.configuration().version() > 0;
       if (usable && taker.take(FleetStateCodec.encode(state))) {
-        log.event("state-from-source", "revision", state.revision());
+        log.event("state-from-source", "revision", Revision.text(state.revision()));
       }
       return usable;
     } catch (StateSourceException e) {
--- a/forwarding/src/main/java/io/moorstage/forwarding/source/SourceFollower.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/source/SourceFollower.java
@@ -3,6 +3,7 @@
 import io.moorstage.core.settings.ForwardingPolicy;
 import io.moorstage.core.settings.Mechanism;
 import io.moorstage.core.state.FleetState;
+import io.moorstage.core.state.Revision;
 import io.moorstage.core.state.StateChanges;
 import io.moorstage.forwarding.log.EventLog;
 import io.moorstage.forwarding.metrics.ForwardingCounter;
@@ -16,7 +17,8 @@
 
 /**
  * Follows the configuration source: waits for changes after the state that a peer has handed over,
- * or reads everything if none has, and again when the source has lost its history.
+ * or reads everything if none has, and again when the source has lost its history or has come back
+ * from an older copy of itself.
  */
 public final class SourceFollower {
   /**
@@ -169,29 +171,41 @@
   }
 
   private void step() throws StateSourceException {
-    if (!complete) {
-      FleetState reading = source.readAll();
-      // A reading below the known revision is passed over: whoever looks for a change that never
-      // came into force has to see that.
-      log.event(
-          "state-from-source", "revision", reading.revision(), "before", keeper.state().revision());
-      keeper.replaceBy(reading, MonotonicClock.nowMs());
-      complete = true;
-    } else {
+    if (complete) {
       int waitMs = confirmed ? WAIT_MS : CONFIRMING_WAIT_MS;
       StateChanges changes = source.awaitChanges(keeper.state().revision(), waitMs);
       keeper.apply(changes, MonotonicClock.nowMs());
+    } else {
+      readAll();
+      complete = true;
     }
     confirmed = true;
   }
 
+  private void readAll() throws StateSourceException {
+    FleetState reading = source.readAll();
+    long knownRevision = keeper.state().revision();
+    // A reading below the known revision changes little: whoever looks for a change that never came
+    // into force has to see that.
+    log.event(
+        "state-from-source",
+        "revision",
+        Revision.text(reading.revision()),
+        "before",
+        Revision.text(knownRevision));
+    if (Revision.isOfEarlierEra(reading.revision(), knownRevision)) {
+      throw new StateSourceException(StateSourceFailure.OUTDATED, "the reading is of an old era");
+    }
+    keeper.replaceBy(reading, MonotonicClock.nowMs());
+  }
+
   private void succeeded() {
     backoff.onAnswer();
     metrics.count(ForwardingCounter.SOURCE_ANSWERS);
     listener.onConfirmed(MonotonicClock.nowMs());
     if (!answering) {
       answering = true;
-      log.event("source-regained", "revision", keeper.state().revision());
+      log.event("source-regained", "revision", Revision.text(keeper.state().revision()));
     }
   }
 
@@ -206,7 +220,12 @@
           "detail",
           e.getMessage(),
           "revision",
-          keeper.state().revision());
+          Revision.text(keeper.state().revision()));
+    }
+    if (e.failure() == StateSourceFailure.ERA_CHANGED) {
+      // The source answers: what it holds now is read without a pause.
+      complete = false;
+      return;
     }
     if (e.failure() == StateSourceFailure.HISTORY_GONE) {
       complete = false;
--- a/forwarding/src/main/java/io/moorstage/forwarding/state/FleetStateCodec.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/state/FleetStateCodec.java
@@ -21,8 +21,8 @@
 
 /** The form in which nodes hand each other a {@link FleetState}. */
 public final class FleetStateCodec {
-  private static final int COMPLETE = 4;
-  private static final int CHANGES = 5;
+  private static final int COMPLETE = 6;
+  private static final int CHANGES = 7;
   private static final int MAX_ENTRIES = 1_000_000;
 
   private FleetStateCodec() {}
@@ -88,11 +88,13 @@
 
   private static void writeTarget(TargetRecord target, DataOutputStream out) throws IOException {
     out.writeUTF(target.id());
+    out.writeLong(target.startedAtMs());
     out.writeUTF(target.service());
     out.writeInt(target.address());
     out.writeUTF(target.zone());
     out.writeInt(target.capacity());
     out.writeByte(target.phase().ordinal());
+    out.writeBoolean(target.saidLeaving());
     out.writeInt(target.slowStartMs());
     out.writeLong(target.createdRevision());
     out.writeLong(target.revision());
@@ -182,6 +184,7 @@
 
   private static TargetRecord readTarget(DataInputStream in) throws IOException {
     String id = in.readUTF();
+    long startedAtMs = in.readLong();
     String service = in.readUTF();
     int address = in.readInt();
     String zone = in.readUTF();
@@ -191,16 +194,19 @@
     if (phase < 0 || phase >= phases.length) {
       throw new IOException("unknown phase");
     }
+    boolean saidLeaving = in.readBoolean();
     int slowStartMs = in.readInt();
     long createdRevision = in.readLong();
     long revision = in.readLong();
     return new TargetRecord(
         id,
+        startedAtMs,
         service,
         address,
         zone,
         capacity,
         phases[phase],
+        saidLeaving,
         slowStartMs,
         createdRevision,
         revision);
--- a/forwarding/src/main/java/io/moorstage/forwarding/state/StateKeeper.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/state/StateKeeper.java
@@ -1,8 +1,8 @@
 package io.moorstage.forwarding.state;
 
 import io.moorstage.core.state.FleetState;
+import io.moorstage.core.state.Revision;
 import io.moorstage.core.state.StateChanges;
-import io.moorstage.core.state.TargetPhase;
 import io.moorstage.core.state.TargetRecord;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -16,6 +16,16 @@
  * on. States only go forward.
  */
 public final class StateKeeper {
+  /**
+   * How long what is known from an earlier era of the source only is kept, in milliseconds: what
+   * targets and operators wrote is written again within some two seconds of the source's return,
+   * which each node learns of a moment later. Whatever stays away for longer is taken for gone.
+   */
+  static final int UNCONFIRMED_MS = 2_500;
+
+  /** Nothing is known from an earlier era only. */
+  private static final long NEVER = Long.MAX_VALUE;
+
   private final int goneMemoryMs;
   private final Listener listener;
   private final RevisionGaps gaps = new RevisionGaps();
@@ -25,6 +35,9 @@
   private volatile FleetState state = FleetState.EMPTY;
   private volatile Encoded encoded;
 
+  /** When what is known from an earlier era only is dropped. */
+  private volatile long unconfirmedUntilMs = NEVER;
+
   /** A state in the form that peers read. */
   private record Encoded(FleetState state, byte[] bytes) {}
 
@@ -93,13 +106,24 @@
   private synchronized void change(UnaryOperator<FleetState> step, long nowMs) {
     FleetState before = state;
     state = formerServices.forget(forgetGone(step.apply(before), nowMs), nowMs);
+    if (Revision.isOfEarlierEra(before.revision(), state.revision())) {
+      unconfirmedUntilMs = state.hasUnconfirmed() ? nowMs + UNCONFIRMED_MS : NEVER;
+    }
     listener.onState(before, state, nowMs);
   }
 
+  /** Drops what nobody has written again since the source came back; called with each tick. */
+  public void onTick(long nowMs) {
+    if (nowMs >= unconfirmedUntilMs) {
+      unconfirmedUntilMs = NEVER;
+      change(FleetState::withoutUnconfirmed, nowMs);
+    }
+  }
+
   private FleetState forgetGone(FleetState newer, long nowMs) {
     List<String> forgotten = new ArrayList<>(0);
     for (TargetRecord target : newer.targets()) {
-      if (target.phase() != TargetPhase.GONE) {
+      if (target.isListed()) {
         // It may have been gone before: an entry that has lapsed can come back.
         goneSinceMs.remove(target.id());
         continue;
--- a/forwarding/src/main/java/io/moorstage/forwarding/state/StateSourceFailure.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/state/StateSourceFailure.java
@@ -11,6 +11,10 @@
   REFUSED,
   /** The source no longer knows the changes since the revision asked for. */
   HISTORY_GONE,
+  /** The source has come back from an older copy since it was followed: all must be read anew. */
+  ERA_CHANGED,
+  /** The answer is of an earlier era of the source than the one that is known. */
+  OUTDATED,
   /** The answer is cut off, malformed or too large. */
   MALFORMED;
 
--- a/forwarding/src/test/java/io/moorstage/forwarding/daemon/DaemonsTest.java
+++ b/forwarding/src/test/java/io/moorstage/forwarding/daemon/DaemonsTest.java
@@ -290,6 +290,11 @@
       public long unusableItems() {
         return 0;
       }
+
+      @Override
+      public long answersWithoutEra() {
+        return 0;
+      }
     };
   }
 
--- a/forwarding/src/test/java/io/moorstage/forwarding/source/FirstStateReaderTest.java
+++ b/forwarding/src/test/java/io/moorstage/forwarding/source/FirstStateReaderTest.java
@@ -49,6 +49,11 @@
       public long unusableItems() {
         return 0;
       }
+
+      @Override
+      public long answersWithoutEra() {
+        return 0;
+      }
     };
   }
 
--- a/forwarding/src/test/java/io/moorstage/forwarding/state/StateKeeperTest.java
+++ b/forwarding/src/test/java/io/moorstage/forwarding/state/StateKeeperTest.java
@@ -6,6 +6,7 @@
 import io.moorstage.core.state.FleetState;
 import io.moorstage.core.state.ForwardingConfiguration;
 import io.moorstage.core.state.ForwardingRoute;
+import io.moorstage.core.state.Revision;
 import io.moorstage.core.state.StateChanges;
 import io.moorstage.core.state.TargetPhase;
 import io.moorstage.core.state.TargetRecord;
@@ -54,6 +55,28 @@
     assertThat(seenByOther.get().revision()).isEqualTo(7);
   }
 
+  @Test
+  void whatIsKnownFromAnEarlierEraOnlyIsDroppedSomeTimeAfterTheSourceHasComeBack() {
+    StateKeeper keeper = new StateKeeper(GONE_MEMORY_MS, (before, after, nowMs) -> {});
+    keeper.replaceBy(stateAt(Revision.of(1, 18), target("a", Revision.of(1, 17))), 0);
+    keeper.replaceBy(stateAt(Revision.of(2, 16)), 1_000);
+    keeper.onTick(1_000 + StateKeeper.UNCONFIRMED_MS - 1);
+    assertThat(keeper.state().target("a").phase()).isEqualTo(TargetPhase.READY);
+    keeper.onTick(1_000 + StateKeeper.UNCONFIRMED_MS);
+    assertThat(keeper.state().target("a").phase()).isEqualTo(TargetPhase.GONE);
+  }
+
+  @Test
+  void nodeThatLearnsOfTheLaterEraFromAPeerDropsWhatNobodyHasWrittenAgainToo() {
+    StateKeeper keeper = new StateKeeper(GONE_MEMORY_MS, (before, after, nowMs) -> {});
+    long known = Revision.of(1, 18);
+    keeper.replaceBy(stateAt(known, target("a", 2), target("b", 3)), 0);
+    keeper.merge(stateAt(Revision.of(2, 16), target("b", Revision.of(2, 3))), known, 1_000);
+    keeper.onTick(1_000 + StateKeeper.UNCONFIRMED_MS);
+    assertThat(keeper.state().target("a").phase()).isEqualTo(TargetPhase.GONE);
+    assertThat(keeper.state().target("b").phase()).isEqualTo(TargetPhase.READY);
+  }
+
   @Test
   void targetThatIsNoLongerListedIsGoneAndForgottenLater() {
     StateKeeper keeper = new StateKeeper(GONE_MEMORY_MS, (before, after, nowMs) -> {});
--- a/lab/src/test/java/io/moorstage/lab/store/StandInStoreTest.java
+++ b/lab/src/test/java/io/moorstage/lab/store/StandInStoreTest.java
@@ -9,6 +9,7 @@
 import io.moorstage.core.state.FleetState;
 import io.moorstage.core.state.ForwardingConfiguration;
 import io.moorstage.core.state.ForwardingRoute;
+import io.moorstage.core.state.Revision;
 import io.moorstage.core.state.StateChanges;
 import io.moorstage.core.state.WeightedService;
 import io.moorstage.forwarding.state.StateSourceException;
@@ -96,7 +97,7 @@
   @Test
   void busyStoreRefuses() {
     store.setMode(StoreMode.BUSY);
-    assertThat(failureOf(0)).isEqualTo(StateSourceFailure.REFUSED);
+    assertThat(failureOf(Revision.of(1, 0))).isEqualTo(StateSourceFailure.REFUSED);
   }
 
   @Test
@@ -114,7 +115,9 @@
     store.remove(StoreKeys.target("t"));
     long lost = reader.readAll().revision();
     store.restore(copy);
-    assertThat(failureOf(lost)).isEqualTo(StateSourceFailure.HISTORY_GONE);
+    assertThat(failureOf(lost)).isEqualTo(StateSourceFailure.ERA_CHANGED);
+    long lostCount = Revision.count(lost);
+    assertThat(failureOf(Revision.of(2, lostCount))).isEqualTo(StateSourceFailure.HISTORY_GONE);
     assertThat(reader.readAll().targets()).hasSize(1);
   }
 }
