Let a peer of an earlier era confirm nothing, and a later start keep its address

Cause: the same order by revision stood in two more places. A peer whose state was confirmed before the source came back confirmed newer states, so a route of the new era could be reset as unknown; and a target that the copy lists again was the later listing at its address. Change: confirmations hold within one era; across eras the later start decides where it is told.

--- a/core/src/main/java/io/moorstage/core/state/TargetRecord.java
+++ b/core/src/main/java/io/moorstage/core/state/TargetRecord.java
@@ -121,12 +121,18 @@
    *
    * <p>The later listing decides, not the later change: one machine holds one target at a time, so
    * the other one had ended when this one was listed. Its own entry may lapse only afterwards,
-   * which makes it the one that changed last.
+   * which makes it the one that changed last. Listings of two eras can't be compared: a source that
+   * has come back from an older copy lists again what has ended since. There the later start
+   * decides where the source tells it.
    */
   public boolean supersedes(TargetRecord other) {
     if (address != other.address || id.equals(other.id)) {
       return false;
     }
+    boolean isOfOtherEra = Revision.era(createdRevision) != Revision.era(other.createdRevision);
+    if (isOfOtherEra && startedAtMs > 0 && other.startedAtMs > 0) {
+      return startedAtMs > other.startedAtMs;
+    }
     if (createdRevision != other.createdRevision) {
       return createdRevision > other.createdRevision;
     }
--- a/core/src/test/java/io/moorstage/core/state/SourceErasTest.java
+++ b/core/src/test/java/io/moorstage/core/state/SourceErasTest.java
@@ -167,6 +167,27 @@
     assertThat(Fleet.state(before(18), late).merge(own).target("t1")).isEqualTo(next);
   }
 
+  // The copy lists the target that had the address before.
+  @Test
+  void targetThatTheCopyListsDoesNotHideTheLaterStartAtItsAddress() {
+    TargetRecord now = started(STARTED_AT_MS + 1, TargetPhase.READY, before(17));
+    TargetRecord ended =
+        new TargetRecord(
+            "t0",
+            STARTED_AT_MS,
+            Fleet.SERVICE,
+            1,
+            Fleet.ZONE,
+            2,
+            TargetPhase.READY,
+            false,
+            0,
+            after(3),
+            after(3));
+    FleetState own = Fleet.state(before(18), now).replaceBy(Fleet.state(after(16), ended));
+    assertThat(own.targetsByAddress()).containsExactly(1, now);
+  }
+
   @Test
   void startThatIsKnownDoesNotTakeBackThatItLeaves() {
     TargetRecord leaving = started(STARTED_AT_MS, TargetPhase.DRAINING, before(17));
--- a/forwarding/src/main/java/io/moorstage/forwarding/daemon/StateConfirmation.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/daemon/StateConfirmation.java
@@ -1,6 +1,7 @@
 package io.moorstage.forwarding.daemon;
 
 import io.moorstage.core.balancer.FlowBalancer;
+import io.moorstage.core.state.Revision;
 import io.moorstage.forwarding.net.MonotonicClock;
 import io.moorstage.forwarding.peer.BalancerBeacons;
 import io.moorstage.forwarding.peer.PeerMessage;
@@ -53,11 +54,19 @@
   void onBeacon(int peer, PeerMessage.BalancerBeacon beacon, long nowMs) {
     int ageMs = beacon.confirmedAgeMs();
     readers.heard(peer, beacon.zone(), ageMs, nowMs);
-    if (beacon.isConfirmed() && beacon.revision() <= keeper.state().revision()) {
+    if (beacon.isConfirmed() && confirms(beacon.revision(), keeper.state().revision())) {
       onConfirmed(nowMs - ageMs);
     }
   }
 
+  /**
+   * Returns whether a peer whose state the source has confirmed confirms this node's too. One of an
+   * earlier era does not: the source has come back since, and may hold what neither of them knows.
+   */
+  static boolean confirms(long peerRevision, long ownRevision) {
+    return peerRevision <= ownRevision && !Revision.isOfEarlierEra(peerRevision, ownRevision);
+  }
+
   /**
    * Returns the age to advertise, in milliseconds, or {@link
    * PeerMessage.BalancerBeacon#NOT_CONFIRMED} if this node does not read the source, or is not
