--- a/forwarding/src/main/java/io/moorstage/forwarding/daemon/AgentDaemon.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/daemon/AgentDaemon.java
@@ -27,7 +27,6 @@
 
 /** Runs beside a target: hands it the segments of its flows and sends its answers to clients. */
 public final class AgentDaemon implements ForwardingDaemon {
-  private static final int TICK_MS = 20;
 
   /**
    * How long after the data path the HTTP servers start, in milliseconds: they cost as much
@@ -35,8 +34,6 @@
    */
   private static final int ENDPOINTS_AFTER_MS = 250;
 
-  private static final int SWEEP_MS = 1_000;
-
   private final ForwardingSettings settings;
   private final SegmentCodec segments;
   private final EventLog log;
@@ -129,7 +126,7 @@
     boolean serving = false;
     long startedAtMs = MonotonicClock.nowMs();
     while (!stopped) {
-      Thread.sleep(TICK_MS);
+      Thread.sleep(MainLoop.TICK_MS);
       long nowMs = MonotonicClock.nowMs();
       agent.onTick(nowMs);
       // Not before the data path, of which they would take the processor time.
@@ -138,7 +135,7 @@
         endpoints.start();
       }
       beacons.sendRegular(nowMs - startedAtMs, nowMs);
-      if (sweepTimer.takeIfDue(SWEEP_MS, nowMs)) {
+      if (sweepTimer.takeIfDue(MainLoop.SWEEP_MS, nowMs)) {
         agent.onSweep(nowMs);
         beacons.sweep(nowMs);
       }
--- a/forwarding/src/main/java/io/moorstage/forwarding/daemon/BalancerDaemon.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/daemon/BalancerDaemon.java
@@ -38,11 +38,6 @@
 
 /** Takes clients' segments and forwards each to the agent beside the flow's target. */
 public final class BalancerDaemon implements ForwardingDaemon {
-  /** Time between two rounds of the main loop. */
-  static final int TICK_MS = 20;
-
-  private static final int SWEEP_MS = 1_000;
-
   /**
    * The HTTP servers wait for a state at most so long, in milliseconds, since metrics are read
    * without one too. Not measured; chosen so that a source that answers has been read by then.
@@ -174,7 +169,7 @@
     try {
       long deadlineMs = MonotonicClock.nowMs() + ENDPOINTS_WITHIN_MS;
       while (!readiness.isConfigured() && MonotonicClock.nowMs() < deadlineMs) {
-        Thread.sleep(TICK_MS);
+        Thread.sleep(MainLoop.TICK_MS);
       }
       if (policy.uses(Mechanism.PACED_START)) {
         processorLag.awaitCalm(ENDPOINTS_AFTER_READY_MS);
@@ -202,16 +197,16 @@
     TickTimer sweepTimer = new TickTimer();
     long ranAtMs = MonotonicClock.nowMs();
     while (!drain.isDone(MonotonicClock.nowMs())) {
-      Thread.sleep(TICK_MS);
+      Thread.sleep(MainLoop.TICK_MS);
       throwEndpointFailure();
       long nowMs = MonotonicClock.nowMs();
-      processorLag.ran(nowMs - ranAtMs - TICK_MS);
+      processorLag.ran(nowMs - ranAtMs - MainLoop.TICK_MS);
       keeper.onTick(nowMs);
       balancer.onTick(nowMs);
       if (beaconTimer.takeIfDue(BalancerBeacons.PERIOD_MS, nowMs)) {
         beacons.sendRegular(keeper.state(), nowMs);
       }
-      if (sweepTimer.takeIfDue(SWEEP_MS, nowMs)) {
+      if (sweepTimer.takeIfDue(MainLoop.SWEEP_MS, nowMs)) {
         balancer.onSweep(nowMs);
       }
       catchUp.fetchIfBehind(nowMs);
--- a/forwarding/src/main/java/io/moorstage/forwarding/daemon/BalancerOutput.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/daemon/BalancerOutput.java
@@ -43,7 +43,7 @@
     this.keeper = keeper;
     this.catchUp = catchUp;
     boolean gathers = settings.policy().uses(Mechanism.GATHERED_QUESTIONS);
-    this.questions = new FlowQuestions(gathers ? BalancerDaemon.TICK_MS : 0, this);
+    this.questions = new FlowQuestions(gathers ? MainLoop.TICK_MS : 0, this);
   }
 
   @Override
--- a/forwarding/src/main/java/io/moorstage/forwarding/log/EventLog.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/log/EventLog.java
@@ -14,9 +14,18 @@
  * lines about trouble have a larger one than others, and what is left out is counted and logged.
  */
 public final class EventLog implements DecisionLog {
+  /**
+   * The most lines that wait for the writer. Not measured; chosen so that some 17 seconds of both
+   * budgets fit, which is under 1 MB.
+   */
   private static final int MAX_QUEUED = 4_096;
+
+  /** The most usual lines in a second. Not measured; chosen far below what a request costs. */
   private static final int BUDGET_USUAL = 40;
+
+  /** The most lines about trouble in a second. Not measured; chosen as five times the usual. */
   private static final int BUDGET_TROUBLE = 200;
+
   private static final long SECOND_MS = 1_000;
 
   private final String nodeId;
--- a/forwarding/src/main/java/io/moorstage/forwarding/net/AddressCache.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/net/AddressCache.java
@@ -5,6 +5,10 @@
 
 /** Socket addresses on one port by IPv4 address, so that sending makes no new objects. */
 public final class AddressCache {
+  /**
+   * The most addresses that are kept. Not measured; chosen above the 6,600 nodes of the largest
+   * fleet (docs/CAPACITY.md), so that only forged senders fill it.
+   */
   private static final int MAX_ENTRIES = 65_536;
 
   private final int port;
--- a/forwarding/src/main/java/io/moorstage/forwarding/net/HttpEndpoint.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/net/HttpEndpoint.java
@@ -40,7 +40,13 @@
 
   private static final int OK = 200;
   private static final int UNAVAILABLE = 503;
+
+  /**
+   * The most connections that wait to be accepted. Not measured; chosen above the nodes of a zone
+   * that ask for the state at one moment.
+   */
   private static final int BACKLOG = 64;
+
   private static final int NO_BODY = -1;
 
   private final HttpServer server;
--- a/forwarding/src/main/java/io/moorstage/forwarding/net/UdpPort.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/net/UdpPort.java
@@ -20,7 +20,12 @@
   /** Above the 1,232 bytes of the longest segment and the 1,500 that a link takes whole. */
   public static final int MAX_DATAGRAM_BYTES = 2_048;
 
+  /**
+   * What the system may hold of datagrams that are not read yet. Not measured; chosen so that some
+   * 800 of the longest segments survive a pause of the receiving thread; the system may grant less.
+   */
   private static final int RECEIVE_BUFFER_BYTES = 1 << 20;
+
   private static final int OCTET_BITS = 8;
   private static final int OCTETS = 4;
 
--- a/forwarding/src/main/java/io/moorstage/forwarding/source/FirstStateReader.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/source/FirstStateReader.java
@@ -37,6 +37,10 @@
    */
   private static final int BACKOFF_MS = 200;
 
+  /**
+   * The longest pause after a failed reading, before what is added at random, in milliseconds. Not
+   * measured; chosen below the two seconds within which lapsed entries are back.
+   */
   private static final int MAX_BACKOFF_MS = 1_600;
 
   private final StateSource source;
--- a/forwarding/src/main/java/io/moorstage/forwarding/source/SourceFollower.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/source/SourceFollower.java
@@ -44,6 +44,7 @@
    */
   private static final int CONFIRM_WITHIN_MS = 700;
 
+  /** How often a start looks for a peer's state, in milliseconds; far below that wait. */
   private static final int PEER_POLL_MS = 10;
 
   /**
--- a/forwarding/src/main/java/io/moorstage/forwarding/state/FleetStateCodec.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/state/FleetStateCodec.java
@@ -21,8 +21,16 @@
 
 /** The form in which nodes hand each other a {@link FleetState}. */
 public final class FleetStateCodec {
+  /**
+   * The first byte of a complete state. It changes with the form, so that nodes of two versions
+   * take nothing from each other instead of something wrong.
+   */
   private static final int COMPLETE = 6;
+
+  /** The first byte of changes since a revision; see {@link #COMPLETE}. */
   private static final int CHANGES = 7;
+
+  /** The most entries of one kind, against forged counts; the largest fleet has 45,000 targets. */
   private static final int MAX_ENTRIES = 1_000_000;
 
   private FleetStateCodec() {}
--- a/forwarding/src/main/java/io/moorstage/forwarding/state/PeerStateClient.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/state/PeerStateClient.java
@@ -9,8 +9,17 @@
 /** Reads the state of another node. */
 public final class PeerStateClient {
   public static final String PATH = "/state";
+
+  /**
+   * How long a peer may take to accept a connection, and between two parts of its answer, in
+   * milliseconds. Not measured; chosen so that two peers can be asked within the second and a half
+   * in which a balancer that has just started uses unlisted agents.
+   */
   private static final int TIMEOUT_MS = 700;
+
+  /** The largest state, in bytes; 45,000 targets take some 5 MB at 100 bytes each. */
   private static final int MAX_BYTES = 64 << 20;
+
   private static final int OK = 200;
 
   private final int statePort;
--- a/forwarding/src/main/java/io/moorstage/forwarding/state/StateLag.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/state/StateLag.java
@@ -5,6 +5,10 @@
  * are milliseconds.
  */
 public final class StateLag {
+  /**
+   * How long the source, or a balancer of the own zone, has to report what a peer elsewhere knows
+   * already, in milliseconds. Not measured; chosen above a call to the source and a beacon's way.
+   */
   private static final int SOURCE_DELAY_MS = 150;
 
   private int aheadPeer;
