Let a target that has started again begin without what the start before did

Cause: the agent kept an ejection, and balancers logged nothing, as the id stayed. Change: a report of another start resets outlier detection; the start's time stands in the lines of its phases, and another start is a line of its own.

--- a/core/src/main/java/io/moorstage/core/agent/AgentTarget.java
+++ b/core/src/main/java/io/moorstage/core/agent/AgentTarget.java
@@ -31,6 +31,7 @@
     }
     if (incarnation.update(report.startNumber(), report.tookOver())) {
       liveness.heard();
+      outliers.startedAgain();
     }
     return true;
   }
--- a/core/src/main/java/io/moorstage/core/agent/OutlierDetector.java
+++ b/core/src/main/java/io/moorstage/core/agent/OutlierDetector.java
@@ -46,6 +46,13 @@
   private long answeredAtMs;
   private long probedAtMs;
 
+  /** The target has started again: what was learnt of the start before says nothing of it. */
+  void startedAgain() {
+    state = State.IN_USE;
+    failuresInRow = 0;
+    ejections = 0;
+  }
+
   /** The target has answered a request. */
   void succeeded(long nowMs) {
     answeredAtMs = nowMs;
--- a/forwarding/src/main/java/io/moorstage/forwarding/log/StateChangeLog.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/log/StateChangeLog.java
@@ -46,12 +46,15 @@
     return shortestMs;
   }
 
-  /** Logs targets that are new, in another phase or cold again; returns them. */
+  /**
+   * Logs targets that are new, have started again, are in another phase or cold again; returns
+   * them.
+   */
   public List<TargetRecord> logTargets(FleetState before, FleetState after) {
     List<TargetRecord> changed = new ArrayList<>(0);
     for (TargetRecord target : after.targets()) {
       TargetRecord known = before.target(target.id());
-      if (known == null || known.phase() != target.phase()) {
+      if (known == null || isOtherStart(known, target) || known.phase() != target.phase()) {
         changed.add(target);
         logTarget(target);
       } else if (known.slowStartMs() < target.slowStartMs()) {
@@ -69,6 +72,10 @@
     return changed;
   }
 
+  private static boolean isOtherStart(TargetRecord known, TargetRecord target) {
+    return known.startNumber() != target.startNumber();
+  }
+
   /** Logs evacuations of zones that were set or lifted; returns whether there are any. */
   public boolean logEvacuations(FleetState before, FleetState after) {
     Set<String> zonesBefore = before.evacuations().zones();
@@ -95,6 +102,8 @@
         target.service(),
         "at",
         Endpoint.of(target.address(), 0).host(),
+        "started-ms",
+        target.startedAtMs(),
         "revision",
         Revision.text(target.revision()));
   }
