Take what a complete reading lists whatever its revision

Cause: since late answers are passed over, a complete reading was too, as far as it lay at or below the node's revision. A source that answers a watch while it passes over changes, and then drops its history, tells of them in a complete reading only: a leaving target would have got new flows for good. Change: a complete reading is merged record by record; only a record of a target that was forgotten after it had gone stays out. Result: LateAnswerTest.completeReadingTellsOfChangesThatAnAnswerHasPassedOver was red and passes.

--- a/core/src/main/java/io/moorstage/core/state/FleetState.java
+++ b/core/src/main/java/io/moorstage/core/state/FleetState.java
@@ -155,7 +155,14 @@
       // The reading is older than what we hold already; it must not take anything back.
       return merge(reading);
     }
-    Map<String, TargetRecord> replaced = merge(reading).targets;
+    Map<String, TargetRecord> replaced = new HashMap<>(targets);
+    for (TargetRecord record : reading.targets.values()) {
+      boolean isForgotten = !record.isListed() && !targets.containsKey(record.id());
+      if (!isForgotten || isNews(record)) {
+        // Whatever its revision: a watch may have passed over a change whose history is gone.
+        replaced.merge(record.id(), record, TargetRecord::merge);
+      }
+    }
     replaced.replaceAll(
         (id, known) -> reading.isUnlisted(known) ? known.gone(reading.revision) : known);
     return new FleetState(
--- a/core/src/test/java/io/moorstage/core/state/LateAnswerTest.java
+++ b/core/src/test/java/io/moorstage/core/state/LateAnswerTest.java
@@ -56,6 +56,18 @@
     assertThat(own.apply(late).evacuations().zones()).isEmpty();
   }
 
+  // The source passes over changes and drops its history: only a complete reading tells of them.
+  @Test
+  void completeReadingTellsOfChangesThatAnAnswerHasPassedOver() {
+    FleetState own = Fleet.state(18, Fleet.target(1, TargetPhase.READY, 3)).apply(written(20));
+    assertThat(own.revision()).isEqualTo(20);
+    TargetRecord leaving = Fleet.target(1, TargetPhase.DRAINING, 19);
+    TargetRecord other = Fleet.listed("other", Fleet.SERVICE, 2, 20);
+    FleetState read = own.replaceBy(Fleet.state(20, leaving, other));
+    assertThat(read.target("t1")).isEqualTo(leaving);
+    assertThat(read.target("other")).isEqualTo(other);
+  }
+
   private static StateChanges written(long revision, TargetRecord... targets) {
     return new StateChanges(revision, List.of(targets), Map.of(), null, List.of());
   }
