Let no ended target stay listed where a later start of its id masks it

A node that knew a later start from an earlier era, or as ended, did not follow what the source listed of the start before. It answered peers with changes that did not tell of that one's end, or with a whole state that seemed to list it; the peers showed it as ready. Change: what is known from an earlier era only proves no listing; a start that has ended is noted as unlisted by each complete reading; a reading while something is unconfirmed is a gap from the era's begin, so peers get the whole state; and what a peer hands over from an earlier era is timed, too.

--- a/core/src/main/java/io/moorstage/core/state/FleetState.java
+++ b/core/src/main/java/io/moorstage/core/state/FleetState.java
@@ -175,9 +175,15 @@
   /** Returns whether a target that another state lists has ended as of this one. */
   private boolean isUnlisted(TargetRecord other) {
     TargetRecord known = targets.get(other.id());
-    boolean listed = known != null && known.isListed();
-    boolean comparable = !Revision.isOfEarlierEra(other.revision(), revision);
-    return !listed && other.isListed() && comparable && other.revision() <= revision;
+    // What this state knows from an earlier era only is no proof that the source lists it now.
+    boolean listed = known != null && known.isListed() && !isUnconfirmed(known);
+    // Of a start that has ended it is noted again that the id is not listed: an earlier start may
+    // have been, and peers that know just that one have to hear that it is not any more.
+    boolean mayHaveBeenListed =
+        other.isListed()
+            ? !Revision.isOfEarlierEra(other.revision(), revision)
+            : other.startedAtMs() > 0;
+    return !listed && mayHaveBeenListed && other.revision() <= revision;
   }
 
   /**
--- a/forwarding/src/main/java/io/moorstage/forwarding/state/StateKeeper.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/state/StateKeeper.java
@@ -68,12 +68,19 @@
   public void replaceBy(FleetState reading, long nowMs) {
     change(
         current -> {
-          noteGap(current.revision(), reading.revision());
+          noteGap(followedUntil(current), reading.revision());
           return current.replaceBy(reading);
         },
         nowMs);
   }
 
+  // Of an id that is known from an earlier era only, this node has not followed what the source has
+  // listed in this one: a peer that has can't learn of its end from this node's changes.
+  private static long followedUntil(FleetState state) {
+    long eraStart = Revision.of(Revision.era(state.revision()), 0);
+    return state.hasUnconfirmed() ? eraStart : state.revision();
+  }
+
   private void noteGap(long before, long after) {
     // Peers that lack what has been forgotten get the whole state anyway.
     gaps.forgetUntil(forgottenRevision);
@@ -106,12 +113,20 @@
   private synchronized void change(UnaryOperator<FleetState> step, long nowMs) {
     FleetState before = state;
     state = formerServices.forget(forgetGone(step.apply(before), nowMs), nowMs);
-    if (Revision.isOfEarlierEra(before.revision(), state.revision())) {
-      unconfirmedUntilMs = state.hasUnconfirmed() ? nowMs + UNCONFIRMED_MS : NEVER;
-    }
+    timeUnconfirmed(before, nowMs);
     listener.onState(before, state, nowMs);
   }
 
+  private void timeUnconfirmed(FleetState before, long nowMs) {
+    boolean hasNewEra = Revision.isOfEarlierEra(before.revision(), state.revision());
+    if (!state.hasUnconfirmed()) {
+      unconfirmedUntilMs = NEVER;
+    } else if (hasNewEra || unconfirmedUntilMs == NEVER) {
+      // A peer may also hand over what it knows from an earlier era within one.
+      unconfirmedUntilMs = nowMs + UNCONFIRMED_MS;
+    }
+  }
+
   /** Drops what nobody has written again since the source came back; called with each tick. */
   public void onTick(long nowMs) {
     if (nowMs >= unconfirmedUntilMs) {
