Let the soak's source come back from older copies, and its targets keep their ids

Cause: the soak's source only ever went forward, so no seed could show what a repeated revision does. Change: an option of the soak, off for the seeds that are kept: at each third fault the store comes back from a copy in the next era, the operator and the targets write again within 2 s, and targets start again under their id with the time of their start. A target drains for good after the last one and is judged without an excuse.

--- a/lab/src/main/java/io/moorstage/lab/edge/StoreJson.java
+++ b/lab/src/main/java/io/moorstage/lab/edge/StoreJson.java
@@ -91,6 +91,9 @@
           json.writeStringField("state", draining ? "draining" : "ready");
           json.writeNumberField("cold_remaining_ms", 0);
           json.writeNumberField("sequence", 1);
+          if (entry.startedAtMs() > 0) {
+            json.writeNumberField("born", entry.startedAtMs());
+          }
         });
   }
 
--- a/lab/src/main/java/io/moorstage/lab/edge/StoreKeys.java
+++ b/lab/src/main/java/io/moorstage/lab/edge/StoreKeys.java
@@ -12,6 +12,11 @@
     return "servers/" + id;
   }
 
+  /** Returns whether a key is that of a target's entry. */
+  public static boolean isTarget(String key) {
+    return key.startsWith(target(""));
+  }
+
   /** Returns the key that stands while a zone is evacuated. */
   public static String evacuation(String zone) {
     return "op/evacuate/" + zone;
--- a/lab/src/main/java/io/moorstage/lab/soak/FaultSoak.java
+++ b/lab/src/main/java/io/moorstage/lab/soak/FaultSoak.java
@@ -10,6 +10,7 @@
 import io.moorstage.lab.process.NotReadyException;
 import io.moorstage.lab.process.Programs;
 import io.moorstage.lab.router.Router;
+import io.moorstage.lab.store.StoreCopy;
 import io.moorstage.lab.store.StoreMode;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -42,6 +43,12 @@
   /** Two heartbeats of the platform's 1.1 s in silence. */
   private static final int ENTRY_LAPSES_MS = 2_300;
 
+  /** The operator and the targets have written again within two seconds of the store's return. */
+  private static final int WRITTEN_AGAIN_WITHIN_MS = 2_000;
+
+  /** A copy is as old as this many faults, some four seconds. */
+  private static final int FAULTS_A_COPY = 3;
+
   private static final int MIN_TARGET_START_MS = 500;
 
   /** Longer than the time in which a leaving target must get no more flows. */
@@ -61,6 +68,8 @@
   private final SoakFleet fleet;
   private final Router router;
   private final FlowClients clients;
+  private final boolean storeRestores;
+  private StoreCopy copy;
 
   /** Addresses whose process has been told to end and is not started again yet. */
   private final Set<String> restarting = ConcurrentHashMap.newKeySet();
@@ -69,18 +78,20 @@
    * Creates a soak; nothing but its store has started.
    *
    * @param seed decides the order and kinds of faults
-   * @param routeMoves whether a route moves to another service at each second fault
+   * @param options what happens beside the faults that all soaks have
    * @param command how programs are started
    * @param folder takes settings, logs, the faults and what was broken
    * @throws IOException if an address can't be bound or the folder not be made
    */
-  public FaultSoak(long seed, boolean routeMoves, LaunchCommand command, Path folder)
+  public FaultSoak(long seed, SoakOptions options, LaunchCommand command, Path folder)
       throws IOException {
-    this.routes = new SoakRoutes(routeMoves);
+    this.routes = new SoakRoutes(options.routeMoves());
+    this.storeRestores = options.storeRestores();
     this.folder = Files.createDirectories(folder);
     this.random = new Random(seed);
     this.faults = new FaultSchedule(folder.resolve("faults.log"), monitor);
-    this.fleet = new SoakFleet(command, this.folder, monitor, routes);
+    this.fleet = new SoakFleet(command, this.folder, monitor, routes, storeRestores);
+    this.copy = fleet.store().copy();
     this.router = new Router(SoakFleet.BALANCERS);
     this.clients =
         new FlowClients(
@@ -105,6 +116,7 @@
   public void run(int durationMs) throws IOException, InterruptedException {
     long end = System.currentTimeMillis() + durationMs;
     boolean moves = false;
+    int faultsOfCopy = 0;
     while (System.currentTimeMillis() < end) {
       Thread.sleep(FAULT_EVERY_MS / 2 + random.nextInt(FAULT_EVERY_MS));
       inject();
@@ -112,6 +124,17 @@
         faults.note("move", () -> fleet.store().put(StoreKeys.CONFIGURATION, routes.move()));
       }
       moves = !moves;
+      if (storeRestores && ++faultsOfCopy == FAULTS_A_COPY) {
+        restoreStore();
+        faultsOfCopy = 0;
+      }
+    }
+    if (storeRestores) {
+      // Judged while no fault excuses it.
+      restoreStore();
+      Thread.sleep(MIN_PAUSE_MS);
+      WatchedTarget last = fleet.targetAt(oneOf(fleet.sides()));
+      faults.note("drain for good " + last.start().id(), () -> fleet.drain(last));
     }
     Thread.sleep(SETTLE_MS);
     fleet.store().setMode(StoreMode.SERVING);
@@ -191,6 +214,18 @@
     faults.after(forMs, "store serves", () -> fleet.store().setMode(StoreMode.SERVING));
   }
 
+  private void restoreStore() throws IOException, InterruptedException {
+    int downMs = MIN_STORE_TROUBLE_MS + random.nextInt(HEALS_WITHIN_MS);
+    monitor.trouble(System.currentTimeMillis() + downMs);
+    faults.note("store down, comes back from a copy", () -> fleet.store().setMode(StoreMode.BUSY));
+    Thread.sleep(downMs);
+    fleet.store().restore(copy);
+    faults.note("store is back", () -> fleet.store().setMode(StoreMode.SERVING));
+    Thread.sleep(random.nextInt(WRITTEN_AGAIN_WITHIN_MS));
+    faults.note("written again", fleet::writeAgain);
+    copy = fleet.store().copy();
+  }
+
   private void crash(String address, int delayMs) throws IOException, InterruptedException {
     WatchedTarget target = fleet.targetAt(address);
     if (!target.isAlive()) {
@@ -199,7 +234,7 @@
     String id = target.start().id();
     monitor.trouble(System.currentTimeMillis());
     faults.note("crash " + id, target::close);
-    faults.after(ENTRY_LAPSES_MS, "lapse " + id, () -> fleet.store().remove(StoreKeys.target(id)));
+    faults.after(ENTRY_LAPSES_MS, "lapse " + id, () -> fleet.unlist(target));
     faults.after(
         MIN_TARGET_START_MS + delayMs, "new target at " + address, () -> fleet.replace(target));
   }
@@ -210,17 +245,12 @@
       return;
     }
     String id = target.start().id();
-    faults.note(
-        "drain " + id,
-        () -> {
-          target.takesNoneSince(System.currentTimeMillis());
-          fleet.store().put(StoreKeys.target(id), target.start().entry(true));
-        });
+    faults.note("drain " + id, () -> fleet.drain(target));
     faults.after(DRAIN_MS, "leave " + id, () -> leave(target));
   }
 
   private void leave(WatchedTarget target) throws IOException {
-    fleet.store().remove(StoreKeys.target(target.start().id()));
+    fleet.unlist(target);
     if (target.isAlive()) {
       target.close();
       fleet.replace(target);
--- a/lab/src/main/java/io/moorstage/lab/soak/SoakCommand.java
+++ b/lab/src/main/java/io/moorstage/lab/soak/SoakCommand.java
@@ -26,6 +26,9 @@
   @Parameter(names = "--moves", description = "A route moves between services")
   private boolean moves;
 
+  @Parameter(names = "--restores", description = "The store comes back from older copies")
+  private boolean restores;
+
   @Parameter(names = "--jar", description = "The programs to run")
   private Path jar = Build.jar();
 
@@ -34,7 +37,8 @@
     long chosen = seed == null ? new Random().nextInt(SEED_BOUND) : seed;
     Path folder = Build.output("soak").resolve("seed-" + chosen);
     System.out.println("soak seed=" + chosen + " minutes=" + minutes + " logs=" + folder);
-    FaultSoak soak = new FaultSoak(chosen, moves, LaunchCommand.ofJar(jar), folder);
+    FaultSoak soak =
+        new FaultSoak(chosen, new SoakOptions(moves, restores), LaunchCommand.ofJar(jar), folder);
     Thread end = new Thread(() -> endBySignal(soak), "end");
     Runtime.getRuntime().addShutdownHook(end);
     try (soak) {
--- a/lab/src/main/java/io/moorstage/lab/soak/SoakFleet.java
+++ b/lab/src/main/java/io/moorstage/lab/soak/SoakFleet.java
@@ -17,8 +17,10 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import javax.annotation.Nullable;
 
 /**
@@ -36,21 +38,26 @@
 
   private final RuleMonitor monitor;
   private final SoakRoutes routes;
+  private final boolean keepsIds;
   private final StandInStore store;
   private final Programs programs;
   private final Map<String, Process> processes = new HashMap<>();
   private final Map<Integer, StandInTarget> targetsBySequence = new HashMap<>();
   private final List<WatchedTarget> targets = new ArrayList<>();
   private final List<String> evacuated = new ArrayList<>();
+  private final Set<TargetStart> draining = new HashSet<>();
   private int starts;
 
   /**
    * Starts the store and nothing else.
    *
+   * @param keepsIds whether a target that starts again keeps its id, and says when it began
    * @throws IOException if its address can't be bound
    */
-  SoakFleet(LaunchCommand command, Path folder, RuleMonitor monitor, SoakRoutes routes)
+  SoakFleet(
+      LaunchCommand command, Path folder, RuleMonitor monitor, SoakRoutes routes, boolean keepsIds)
       throws IOException {
+    this.keepsIds = keepsIds;
     this.monitor = monitor;
     this.routes = routes;
     this.store = new StandInStore(new InetSocketAddress(STORE, Ports.STORE));
@@ -86,7 +93,7 @@
 
   /** Starts a target at an address and lists it. */
   synchronized void startTarget(String service, String address, String zone) throws IOException {
-    TargetStart start = TargetStart.of("t" + starts++, service, address, zone, TARGET_SLOTS);
+    TargetStart start = nextStart(service, address, zone);
     WatchedTarget target = new WatchedTarget(start, monitor, routes);
     targetsBySequence.put(start.sequence(), target.target());
     targets.removeIf(before -> before.start().address().equals(address));
@@ -97,6 +104,55 @@
     store.put(StoreKeys.target(start.id()), start.entry(false));
   }
 
+  private TargetStart nextStart(String service, String address, String zone) {
+    if (!keepsIds) {
+      return TargetStart.of("t" + starts++, service, address, zone, TARGET_SLOTS);
+    }
+    String id = "t-" + address;
+    return TargetStart.of(id, service, address, zone, TARGET_SLOTS).at(System.currentTimeMillis());
+  }
+
+  /** A target says that it leaves. */
+  synchronized void drain(WatchedTarget target) {
+    target.takesNoneSince(System.currentTimeMillis());
+    draining.add(target.start());
+    store.put(StoreKeys.target(target.start().id()), target.start().entry(true));
+  }
+
+  /** The entry of a target that has ended goes, unless the next start has written it. */
+  synchronized void unlist(WatchedTarget target) {
+    String id = target.start().id();
+    boolean isReplaced = keepsIds && !targetAt(target.start().address()).equals(target);
+    if (!isReplaced) {
+      store.remove(StoreKeys.target(id));
+    }
+  }
+
+  /** The operator and all targets that live write again what a copy of the store may lack. */
+  synchronized void writeAgain() {
+    store.put(StoreKeys.CONFIGURATION, routes.configuration());
+    Set<String> living = new HashSet<>();
+    for (WatchedTarget target : targets) {
+      if (target.isAlive()) {
+        TargetStart start = target.start();
+        living.add(StoreKeys.target(start.id()));
+        store.put(StoreKeys.target(start.id()), start.entry(draining.contains(start)));
+      }
+    }
+    for (String zone : ZONES) {
+      if (evacuated.contains(zone)) {
+        store.put(StoreKeys.evacuation(zone), StoreJson.empty());
+      } else {
+        store.remove(StoreKeys.evacuation(zone));
+      }
+    }
+    for (String key : store.keys()) {
+      if (StoreKeys.isTarget(key) && !living.contains(key)) {
+        store.remove(key);
+      }
+    }
+  }
+
   /** Starts another target at the address of one that has ended. */
   void replace(WatchedTarget target) throws IOException {
     TargetStart ended = target.start();
--- a/lab/src/main/java/io/moorstage/lab/store/StandInStore.java
+++ b/lab/src/main/java/io/moorstage/lab/store/StandInStore.java
@@ -12,6 +12,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -103,6 +104,11 @@
     notifyAll();
   }
 
+  /** Returns the keys of all items. */
+  public synchronized Set<String> keys() {
+    return Set.copyOf(items.keySet());
+  }
+
   /** Returns a copy of all items, to come back from later. */
   public synchronized StoreCopy copy() {
     return new StoreCopy(new TreeMap<>(items), revision);
--- a/lab/src/test/java/io/moorstage/lab/soak/FaultSoakTest.java
+++ b/lab/src/test/java/io/moorstage/lab/soak/FaultSoakTest.java
@@ -11,7 +11,8 @@
 /**
  * The soak with fixed seeds, or, with the properties {@code soak.seed} and {@code soak.minutes},
  * with one seed for longer; {@code build-tools/soak} sets them, and {@code soak.moves} for a route
- * that moves. Logs stay in {@code target/soak}.
+ * that moves, {@code soak.restores} for a store that comes back from older copies. Logs stay in
+ * {@code target/soak}.
  */
 class FaultSoakTest {
   /** Two that have never failed, and those that have (causes in docs/SOAK.md). */
@@ -20,6 +21,9 @@
   /** With a route that moves between services. */
   private static final long[] MOVING_SEEDS = {33};
 
+  /** With a store that comes back from older copies, and targets that keep their ids. */
+  private static final long[] RESTORING_SEEDS = {41};
+
   private static final int SECONDS_A_SEED = 25;
   private static final int MS_PER_S = 1_000;
   private static final int MS_PER_MINUTE = 60_000;
@@ -30,23 +34,27 @@
     List<String> breaches = new ArrayList<>();
     if (seed != null) {
       int minutes = Integer.getInteger("soak.minutes", 1);
-      boolean moves = Boolean.getBoolean("soak.moves");
-      soak(Long.parseLong(seed), moves, minutes * MS_PER_MINUTE, breaches);
+      SoakOptions options =
+          new SoakOptions(Boolean.getBoolean("soak.moves"), Boolean.getBoolean("soak.restores"));
+      soak(Long.parseLong(seed), options, minutes * MS_PER_MINUTE, breaches);
     } else {
       for (long fixed : SEEDS) {
-        soak(fixed, false, SECONDS_A_SEED * MS_PER_S, breaches);
+        soak(fixed, SoakOptions.PLAIN, SECONDS_A_SEED * MS_PER_S, breaches);
       }
       for (long fixed : MOVING_SEEDS) {
-        soak(fixed, true, SECONDS_A_SEED * MS_PER_S, breaches);
+        soak(fixed, new SoakOptions(true, false), SECONDS_A_SEED * MS_PER_S, breaches);
+      }
+      for (long fixed : RESTORING_SEEDS) {
+        soak(fixed, new SoakOptions(false, true), SECONDS_A_SEED * MS_PER_S, breaches);
       }
     }
     assertWithMessage("broken").that(breaches).isEmpty();
   }
 
-  private static void soak(long seed, boolean moves, int durationMs, List<String> breaches)
+  private static void soak(long seed, SoakOptions options, int durationMs, List<String> breaches)
       throws Exception {
     Path folder = Path.of("target", "soak", "seed-" + seed);
-    FaultSoak soak = new FaultSoak(seed, moves, LaunchCommand.ofOwnClasses(), folder);
+    FaultSoak soak = new FaultSoak(seed, options, LaunchCommand.ofOwnClasses(), folder);
     try (soak) {
       soak.start();
       soak.run(durationMs);
