--- a/core/src/main/java/io/moorstage/core/agent/OutlierDetector.java
+++ b/core/src/main/java/io/moorstage/core/agent/OutlierDetector.java
@@ -46,7 +46,7 @@
   private long answeredAtMs;
   private long probedAtMs;
 
-  /** The target has started again: what was learnt of the start before says nothing of it. */
+  /** The target has started again: the failures were those of the start before. */
   void startedAgain() {
     state = State.IN_USE;
     failuresInRow = 0;
--- a/core/src/main/java/io/moorstage/core/placement/TargetPools.java
+++ b/core/src/main/java/io/moorstage/core/placement/TargetPools.java
@@ -42,7 +42,7 @@
     for (TargetRecord record : state.targetsByAddress().values()) {
       TargetSlot slot = slotsById.get(record.id());
       if (slot == null || slot.record().startNumber() != record.startNumber()) {
-        // What was learnt of an earlier start says nothing of this one.
+        // Load, silence and ejection were those of the start before.
         slot = new TargetSlot(record, nowMs);
       } else {
         slot.update(record, nowMs);
--- a/core/src/main/java/io/moorstage/core/state/FleetState.java
+++ b/core/src/main/java/io/moorstage/core/state/FleetState.java
@@ -108,7 +108,7 @@
   }
 
   /**
-   * Returns whether a record says what this state does not know. Nothing is missing up to its
+   * Returns whether a record holds something that this state lacks. Nothing is missing up to its
    * revision: a record from before is an old copy, of a target that has changed or gone since.
    */
   private boolean isNews(TargetRecord record) {
@@ -116,7 +116,7 @@
       return true;
     }
     TargetRecord known = targets.get(record.id());
-    // A start is told apart by its time, and what one has said in an earlier era holds still.
+    // A later start counts whatever its revision, and a start that drained before drains on.
     return known != null
         && (record.startedAfter(known) || Revision.isOfEarlierEra(record.revision(), revision));
   }
@@ -177,8 +177,9 @@
     TargetRecord known = targets.get(other.id());
     // What this state knows from an earlier era only is no proof that the source lists it now.
     boolean listed = known != null && known.isListed() && !isUnconfirmed(known);
-    // Of a start that has ended it is noted again that the id is not listed: an earlier start may
-    // have been, and peers that know just that one have to hear that it is not any more.
+    // The end of a start is noted anew: an earlier start may have been listed since under its id,
+    // and
+    // peers that know only that one have to learn that it has gone.
     boolean mayHaveBeenListed =
         other.isListed()
             ? !Revision.isOfEarlierEra(other.revision(), revision)
@@ -188,7 +189,7 @@
 
   /**
    * Returns whether something is known from an earlier era only: a target that is listed, or an
-   * evacuation in force, that nobody has seen in the source since it came back from an older copy.
+   * evacuation in force, that the source has not listed since it came back from an older copy.
    */
   public boolean hasUnconfirmed() {
     for (TargetRecord target : targets.values()) {
@@ -242,12 +243,12 @@
       }
     }
     ForwardingConfiguration next = changes.configuration();
-    Evacuations told = Evacuations.of(changes.evacuations());
+    Evacuations reported = Evacuations.of(changes.evacuations());
     return new FleetState(
         changes.revision(),
         next == null ? configuration : configuration.merge(next),
         changed,
-        evacuations.apply(leadsFurther ? told.since(revision).all() : told.all()));
+        evacuations.apply(leadsFurther ? reported.since(revision).all() : reported.all()));
   }
 
   /** Returns this state with another copy of its configuration. */
--- a/core/src/main/java/io/moorstage/core/state/TargetRecord.java
+++ b/core/src/main/java/io/moorstage/core/state/TargetRecord.java
@@ -5,15 +5,15 @@
 /**
  * One start of a target, as the configuration source lists it.
  *
- * @param id names the target; together with its start, where the source tells it, this start
- * @param startedAtMs when this start began, in Unix milliseconds; 0 if the source does not tell,
- *     and then another start has another id
+ * @param id names the target; together with its start, where the source reports it, this start
+ * @param startedAtMs when this start began, in Unix milliseconds; 0 if the source does not report
+ *     it, and then another start has another id
  * @param service name of the service
  * @param address IPv4 address of the machine, where the target's agent runs too
  * @param zone name of the zone
  * @param capacity requests that it works on at a time, 1 or more
- * @param phase how far it is in its life; never ready once it has said that it leaves
- * @param saidLeaving whether this start has said that it leaves, which it can't take back
+ * @param phase how far it is in its life; never ready once it is leaving
+ * @param leaving whether this start drains, or did when it was listed last; it can't be undone
  * @param slowStartMs for how long after its start it is slow, in milliseconds
  * @param createdRevision the source's {@link Revision} at which it was listed first, or again after
  *     its entry had lapsed; orders the starts of targets at one address
@@ -27,20 +27,20 @@
     String zone,
     int capacity,
     TargetPhase phase,
-    boolean saidLeaving,
+    boolean leaving,
     int slowStartMs,
     long createdRevision,
     long revision) {
 
-  /** Creates a record; one that has said that it leaves is not ready, whatever its phase says. */
+  /** Creates a record; that of a leaving start is never ready. */
   public TargetRecord {
-    saidLeaving |= phase == TargetPhase.DRAINING;
-    if (saidLeaving && phase == TargetPhase.READY) {
+    leaving |= phase == TargetPhase.DRAINING;
+    if (leaving && phase == TargetPhase.READY) {
       phase = TargetPhase.DRAINING;
     }
   }
 
-  /** Creates the record of a target whose start the source does not tell. */
+  /** Creates the record of a target whose start the source does not report. */
   public TargetRecord(
       String id,
       String service,
@@ -70,7 +70,9 @@
     return FlowId.mix(id.hashCode() ^ FlowId.mix(startedAtMs)) | 1;
   }
 
-  /** Returns whether this start began after another one; never where the source does not tell. */
+  /**
+   * Returns whether this start began after another one; never where the source does not report it.
+   */
   public boolean startedAfter(TargetRecord other) {
     return other.startedAtMs > 0 && startedAtMs > other.startedAtMs;
   }
@@ -82,10 +84,10 @@
 
   /** Returns this record as of a later revision at which the source no longer lists it. */
   public TargetRecord gone(long atRevision) {
-    return with(TargetPhase.GONE, saidLeaving, atRevision);
+    return with(TargetPhase.GONE, leaving, atRevision);
   }
 
-  private TargetRecord with(TargetPhase otherPhase, boolean leaving, long atRevision) {
+  private TargetRecord with(TargetPhase otherPhase, boolean isLeaving, long atRevision) {
     return new TargetRecord(
         id,
         startedAtMs,
@@ -94,7 +96,7 @@
         zone,
         capacity,
         otherPhase,
-        leaving,
+        isLeaving,
         slowStartMs,
         createdRevision,
         atRevision);
@@ -104,9 +106,9 @@
    * Returns what is known from this record and another one of the same id: that of the later start,
    * or of one start the newer.
    *
-   * <p>A start does not take back that it leaves. A source that has come back from an older copy
+   * <p>A start that drains does so until it ends. A source that has come back from an older copy
    * lists it as ready until it has written again, and new flows would go to it meanwhile. Where the
-   * source does not tell starts apart, a newer record of the same era is another start's.
+   * source does not report starts, a newer record of the same era may be another start's.
    */
   TargetRecord merge(TargetRecord other) {
     if (startedAfter(other)) {
@@ -121,8 +123,8 @@
     boolean isOneStart =
         startedAtMs > 0 && other.startedAtMs > 0
             || Revision.isOfEarlierEra(older.revision, newer.revision);
-    boolean leaves = isOneStart && older.saidLeaving && !newer.saidLeaving;
-    return leaves ? newer.with(newer.phase, true, newer.revision) : newer;
+    boolean drainsOn = isOneStart && older.leaving && !newer.leaving;
+    return drainsOn ? newer.with(newer.phase, true, newer.revision) : newer;
   }
 
   /**
@@ -132,7 +134,7 @@
    * the other one had ended when this one was listed. Its own entry may lapse only afterwards,
    * which makes it the one that changed last. Listings of two eras can't be compared: a source that
    * has come back from an older copy lists again what has ended since. There the later start
-   * decides where the source tells it.
+   * decides where the source reports it.
    */
   public boolean supersedes(TargetRecord other) {
     if (address != other.address || id.equals(other.id)) {
--- a/forwarding/src/main/java/io/moorstage/forwarding/state/FleetStateCodec.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/state/FleetStateCodec.java
@@ -102,7 +102,7 @@
     out.writeUTF(target.zone());
     out.writeInt(target.capacity());
     out.writeByte(target.phase().ordinal());
-    out.writeBoolean(target.saidLeaving());
+    out.writeBoolean(target.leaving());
     out.writeInt(target.slowStartMs());
     out.writeLong(target.createdRevision());
     out.writeLong(target.revision());
@@ -202,7 +202,7 @@
     if (phase < 0 || phase >= phases.length) {
       throw new IOException("unknown phase");
     }
-    boolean saidLeaving = in.readBoolean();
+    boolean leaving = in.readBoolean();
     int slowStartMs = in.readInt();
     long createdRevision = in.readLong();
     long revision = in.readLong();
@@ -214,7 +214,7 @@
         zone,
         capacity,
         phases[phase],
-        saidLeaving,
+        leaving,
         slowStartMs,
         createdRevision,
         revision);
--- a/forwarding/src/test/java/io/moorstage/forwarding/state/SourceErasPropertiesTest.java
+++ b/forwarding/src/test/java/io/moorstage/forwarding/state/SourceErasPropertiesTest.java
@@ -220,8 +220,8 @@
       assertThat(now).isNotNull();
       assertWithMessage("%s then %s", known, now).that(known.startedAfter(now)).isFalse();
       boolean isSameStart = known.startNumber() == now.startNumber();
-      if (isSameStart && known.saidLeaving()) {
-        assertWithMessage("%s then %s", known, now).that(now.saidLeaving()).isTrue();
+      if (isSameStart && known.leaving()) {
+        assertWithMessage("%s then %s", known, now).that(now.leaving()).isTrue();
         assertThat(now.phase()).isNotEqualTo(TargetPhase.READY);
       }
     }
--- a/lab/src/test/java/io/moorstage/lab/process/RestoredSourceTest.java
+++ b/lab/src/test/java/io/moorstage/lab/process/RestoredSourceTest.java
@@ -31,10 +31,10 @@
  * </pre>
  *
  * <p>Then two writes came in the pause between such a reading and the next question: the target's
- * word and version 23 of the configuration. They brought the store to 18, the question was answered
- * again, and neither was ever told: to the balancers both stood at revisions that they knew. The
- * next version was taken as {@code configuration-taken version=26 revision=19}, one revision after
- * three writes, and no process ever logged that the target was draining.
+ * draining state and version 23 of the configuration. They brought the store to 18, the question
+ * was answered again, and neither was ever told: to the balancers both stood at revisions that they
+ * knew. The next version was taken as {@code configuration-taken version=26 revision=19}, one
+ * revision after three writes, and no process ever logged that the target was draining.
  */
 class RestoredSourceTest {
   private static final String STORE = "127.77.8.1";
@@ -150,7 +150,7 @@
   }
 
   @Test
-  void targetLeavesInTimeThoughItsWordHasARevisionThatWasGivenOutBefore() throws Exception {
+  void targetLeavesInTimeThoughItDrainsAtARevisionThatWasGivenOutBefore() throws Exception {
     StoreCopy copy = store.copy();
     writeWhatIsLost();
     openSome();
