Give each start of a soak's target a sequence of its own

Two of six targets had one sequence: it followed from the id and the time of the start by an exclusive or, and both lay side by side (the lines of their starts, 3 ms apart, give the same number). Change: id and time stand in bits of their own.

--- a/lab/src/main/java/io/moorstage/lab/targets/TargetStart.java
+++ b/lab/src/main/java/io/moorstage/lab/targets/TargetStart.java
@@ -46,8 +46,9 @@
    * Returns this start as one that says when it began, and with a sequence that follows from it.
    */
   public TargetStart at(long atMs) {
-    return new TargetStart(
-        id, service, address, zone, slots, sequenceOf(id.hashCode() ^ atMs), atMs);
+    // The id in bits of its own: ids and times that lie side by side would give one sequence.
+    long seed = (long) id.hashCode() << Integer.SIZE ^ atMs;
+    return new TargetStart(id, service, address, zone, slots, sequenceOf(seed), atMs);
   }
 
   /** Returns the entry by which the store lists this target. */
