Carry objectives, priorities and measured capacity between nodes

Cause: an agent knows neither the latency objective nor the priority of a request, and a balancer does not know the speed of a target. Change: routes have an objective and a priority; forwarded segments carry scheduling terms where overload.control is on; beacons of agents carry the service time, the flows held and the admitted rank. Nothing is decided by them yet.

--- a/core/src/main/java/io/moorstage/core/agent/FlowAgent.java
+++ b/core/src/main/java/io/moorstage/core/agent/FlowAgent.java
@@ -3,6 +3,7 @@
 import io.moorstage.core.flow.FlowId;
 import io.moorstage.core.flow.Segment;
 import io.moorstage.core.log.DecisionLog;
+import io.moorstage.core.message.CapacityReport;
 import io.moorstage.core.message.FlowQueryResult;
 import io.moorstage.core.message.ForwardTerms;
 import io.moorstage.core.message.GiveBackReason;
@@ -106,6 +107,11 @@
     return flows.requests().busyFlows();
   }
 
+  /** Returns what the agent has measured of its target's capacity, and what it admits. */
+  public synchronized CapacityReport capacityReport() {
+    return CapacityReport.UNKNOWN;
+  }
+
   /** Returns the number of flows that the agent has an entry for. */
   public synchronized int flowCount() {
     return flows.count();
--- a/core/src/main/java/io/moorstage/core/message/AgentReport.java
+++ b/core/src/main/java/io/moorstage/core/message/AgentReport.java
@@ -11,6 +11,7 @@
  * @param stopping whether the agent is shutting down
  * @param targetEjected whether the agent has ejected the target from new flows as an outlier
  * @param targetEnded whether the target's process has ended, so that it holds no flows
+ * @param capacityReport what the agent has measured of the target's capacity
  */
 public record AgentReport(
     int address,
@@ -19,4 +20,26 @@
     int busyFlows,
     boolean stopping,
     boolean targetEjected,
-    boolean targetEnded) {}
+    boolean targetEnded,
+    CapacityReport capacityReport) {
+
+  /** Creates a report of an agent that has measured nothing yet. */
+  public AgentReport(
+      int address,
+      String service,
+      String zone,
+      int busyFlows,
+      boolean stopping,
+      boolean targetEjected,
+      boolean targetEnded) {
+    this(
+        address,
+        service,
+        zone,
+        busyFlows,
+        stopping,
+        targetEjected,
+        targetEnded,
+        CapacityReport.UNKNOWN);
+  }
+}
--- a/core/src/main/java/io/moorstage/core/message/ForwardTerms.java
+++ b/core/src/main/java/io/moorstage/core/message/ForwardTerms.java
@@ -1,5 +1,7 @@
 package io.moorstage.core.message;
 
+import javax.annotation.Nullable;
+
 /**
  * The parameters that a balancer sends to an agent with each segment that it forwards.
  *
@@ -11,6 +13,8 @@
  * @param repeatable whether requests on the flow's route may be repeated
  * @param overridesEjection whether the target must be given a new flow even if its agent has
  *     ejected it, since most targets of the service are ejected
+ * @param scheduling how the agent schedules the flow's requests under overload; null if overload
+ *     control is off
  */
 public record ForwardTerms(
     String service,
@@ -18,4 +22,24 @@
     int timeoutMs,
     int coldOpeningsPerS,
     boolean repeatable,
-    boolean overridesEjection) {}
+    boolean overridesEjection,
+    @Nullable SchedulingTerms scheduling) {
+
+  /** Creates terms without overload control. */
+  public ForwardTerms(
+      String service,
+      long configurationVersion,
+      int timeoutMs,
+      int coldOpeningsPerS,
+      boolean repeatable,
+      boolean overridesEjection) {
+    this(
+        service,
+        configurationVersion,
+        timeoutMs,
+        coldOpeningsPerS,
+        repeatable,
+        overridesEjection,
+        null);
+  }
+}
--- a/core/src/main/java/io/moorstage/core/message/GiveBackReason.java
+++ b/core/src/main/java/io/moorstage/core/message/GiveBackReason.java
@@ -21,7 +21,9 @@
   /** The target's process has ended. */
   ENDED,
   /** The agent has ejected the target as an outlier, and gives it no new flows for a while. */
-  UNFIT;
+  UNFIT,
+  /** The request could not be served in time, as the agent's queue is too long for its rank. */
+  OVERLOADED;
 
   private static final GiveBackReason[] VALUES = values();
 
--- a/core/src/main/java/io/moorstage/core/settings/ForwardingPolicy.java
+++ b/core/src/main/java/io/moorstage/core/settings/ForwardingPolicy.java
@@ -9,6 +9,7 @@
  * @param opening the opening of a new flow
  * @param requests requests that wait for a target
  * @param retention how long nodes keep flows and targets that are no longer in use
+ * @param overload overload control
  * @param switchedOff mechanisms that are switched off for an experiment; empty in operation
  */
 public record ForwardingPolicy(
@@ -16,6 +17,7 @@
     OpeningSettings opening,
     RequestSettings requests,
     RetentionSettings retention,
+    OverloadSettings overload,
     Set<Mechanism> switchedOff) {
 
   /** Values for a deployment whose flows live up to a minute. */
@@ -25,6 +27,7 @@
           OpeningSettings.STANDARD,
           RequestSettings.STANDARD,
           RetentionSettings.STANDARD,
+          OverloadSettings.OFF,
           Set.of());
 
   /** Creates a policy. */
@@ -39,6 +42,11 @@
 
   /** Returns a copy of this policy in which exactly the given mechanisms are switched off. */
   public ForwardingPolicy without(Set<Mechanism> mechanisms) {
-    return new ForwardingPolicy(search, opening, requests, retention, mechanisms);
+    return new ForwardingPolicy(search, opening, requests, retention, overload, mechanisms);
+  }
+
+  /** Returns a copy of this policy with other settings of overload control. */
+  public ForwardingPolicy with(OverloadSettings newOverload) {
+    return new ForwardingPolicy(search, opening, requests, retention, newOverload, switchedOff);
   }
 }
--- a/core/src/main/java/io/moorstage/core/state/ForwardingRoute.java
+++ b/core/src/main/java/io/moorstage/core/state/ForwardingRoute.java
@@ -1,6 +1,7 @@
 package io.moorstage.core.state;
 
 import io.moorstage.core.flow.FlowId;
+import io.moorstage.core.message.SchedulingTerms;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Predicate;
@@ -13,11 +14,27 @@
  * @param port port that clients send to
  * @param timeoutMs how long a request of the route may take, in milliseconds; 0 if unknown
  * @param repeatable whether requests of the route may be sent more than once
+ * @param objectiveMs latency objective of requests of the route, in milliseconds from the first
+ *     attempt; 0 if unknown
+ * @param priority priority of the route's requests; 0 is the highest, {@link
+ *     SchedulingTerms#LOWEST_PRIORITY} the lowest
  * @param services the services that share the route's new flows, at least one, and former ones at
  *     weight 0, whose targets may still hold flows
  */
 public record ForwardingRoute(
-    int address, int port, int timeoutMs, boolean repeatable, List<WeightedService> services) {
+    int address,
+    int port,
+    int timeoutMs,
+    boolean repeatable,
+    int objectiveMs,
+    int priority,
+    List<WeightedService> services) {
+
+  /** Creates a route without a latency objective, with the lowest priority. */
+  public ForwardingRoute(
+      int address, int port, int timeoutMs, boolean repeatable, List<WeightedService> services) {
+    this(address, port, timeoutMs, repeatable, 0, SchedulingTerms.LOWEST_PRIORITY, services);
+  }
 
   /** Returns whether a service gets new flows of the route, or got some before. */
   public boolean hasService(String service) {
@@ -74,7 +91,8 @@
   }
 
   private ForwardingRoute with(List<WeightedService> otherServices) {
-    return new ForwardingRoute(address, port, timeoutMs, repeatable, otherServices);
+    return new ForwardingRoute(
+        address, port, timeoutMs, repeatable, objectiveMs, priority, otherServices);
   }
 
   /** Returns the key of this route, which equals {@link FlowId#service} of its flows. */
--- a/forwarding/src/main/java/io/moorstage/forwarding/daemon/AgentBeacons.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/daemon/AgentBeacons.java
@@ -152,6 +152,7 @@
         stopping,
         agent.isTargetEjected(),
         agent.hasTargetEnded(),
+        agent.capacityReport(),
         balancers.livePeers(settings.zone(), BalancerBeacons.MAX_LISTED_BALANCERS, nowMs));
   }
 }
--- a/forwarding/src/main/java/io/moorstage/forwarding/daemon/BalancerMessageHandler.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/daemon/BalancerMessageHandler.java
@@ -134,6 +134,7 @@
         beacon.busyFlows(),
         beacon.stopping(),
         beacon.targetEjected(),
-        beacon.targetEnded());
+        beacon.targetEnded(),
+        beacon.capacityReport());
   }
 }
--- a/forwarding/src/main/java/io/moorstage/forwarding/peer/PeerMessage.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/peer/PeerMessage.java
@@ -1,6 +1,7 @@
 package io.moorstage.forwarding.peer;
 
 import io.moorstage.core.flow.FlowId;
+import io.moorstage.core.message.CapacityReport;
 import io.moorstage.core.message.FlowQueryResult;
 import io.moorstage.core.message.ForwardTerms;
 import io.moorstage.core.message.GiveBackReason;
@@ -95,6 +96,7 @@
    * @param targetEjected whether outlier detection has ejected the target, since it recently broke
    *     off requests or responds to none
    * @param targetEnded whether the target's process has ended
+   * @param capacityReport what the agent has measured of the target's capacity
    * @param balancers addresses of some live balancers
    */
   record AgentBeacon(
@@ -105,6 +107,7 @@
       boolean stopping,
       boolean targetEjected,
       boolean targetEnded,
+      CapacityReport capacityReport,
       int[] balancers)
       implements PeerMessage {}
 }
--- a/forwarding/src/main/java/io/moorstage/forwarding/peer/PeerMessageCodec.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/peer/PeerMessageCodec.java
@@ -1,9 +1,11 @@
 package io.moorstage.forwarding.peer;
 
 import io.moorstage.core.flow.FlowId;
+import io.moorstage.core.message.CapacityReport;
 import io.moorstage.core.message.FlowQueryResult;
 import io.moorstage.core.message.ForwardTerms;
 import io.moorstage.core.message.GiveBackReason;
+import io.moorstage.core.message.SchedulingTerms;
 import io.moorstage.core.message.TargetReport;
 import io.moorstage.core.state.TargetPhase;
 import java.nio.BufferUnderflowException;
@@ -37,6 +39,8 @@
   private static final byte FLOW_QUERY_RESPONSE = 4;
   private static final byte BALANCER_BEACON = 5;
   private static final byte AGENT_BEACON = 6;
+  private static final int OVERRIDES_EJECTION = 1;
+  private static final int HAS_SCHEDULING = 2;
   private static final int NO_PHASE = 0xFF;
   private static final int BYTE_MASK = 0xFF;
   private static final int SHORT_MASK = 0xFFFF;
@@ -68,7 +72,16 @@
     out.putLong(terms.configurationVersion()).putInt(terms.timeoutMs());
     out.putInt(terms.coldOpeningsPerS());
     putFlag(terms.repeatable(), out);
-    putFlag(terms.overridesEjection(), out);
+    int ejectionFlag = terms.overridesEjection() ? OVERRIDES_EJECTION : 0;
+    SchedulingTerms scheduling = terms.scheduling();
+    if (scheduling == null) {
+      out.put((byte) ejectionFlag);
+    } else {
+      out.put((byte) (ejectionFlag | HAS_SCHEDULING));
+      out.putShort((short) Math.min(scheduling.objectiveMs(), SHORT_MASK));
+      out.put((byte) scheduling.priority()).put((byte) scheduling.clientOrder());
+      out.putShort((short) scheduling.originZone());
+    }
     out.put(forward.datagram().duplicate());
   }
 
@@ -105,6 +118,9 @@
     putFlag(beacon.stopping(), out);
     putFlag(beacon.targetEjected(), out);
     putFlag(beacon.targetEnded(), out);
+    CapacityReport capacity = beacon.capacityReport();
+    out.putShort((short) capacity.serviceTimeTenthsMs()).putShort((short) capacity.heldFlows());
+    out.putShort((short) capacity.admittedRank());
     putAddresses(beacon.balancers(), out);
   }
 
@@ -163,9 +179,7 @@
   private static PeerMessage decodeFields(ByteBuffer in) {
     switch (in.get()) {
       case FORWARD:
-        ForwardTerms terms =
-            new ForwardTerms(
-                getText(in), in.getLong(), in.getInt(), in.getInt(), in.get() != 0, in.get() != 0);
+        ForwardTerms terms = getForwardTerms(in);
         return new PeerMessage.Forward(terms, in.slice());
       case GIVE_BACK:
         GiveBackReason reason = GiveBackReason.ofNumber(in.get());
@@ -184,6 +198,32 @@
     }
   }
 
+  private static ForwardTerms getForwardTerms(ByteBuffer in) {
+    String service = getText(in);
+    long version = in.getLong();
+    int timeoutMs = in.getInt();
+    int coldOpeningsPerS = in.getInt();
+    boolean repeatable = in.get() != 0;
+    int flags = in.get();
+    SchedulingTerms scheduling = (flags & HAS_SCHEDULING) == 0 ? null : getSchedulingTerms(in);
+    return new ForwardTerms(
+        service,
+        version,
+        timeoutMs,
+        coldOpeningsPerS,
+        repeatable,
+        (flags & OVERRIDES_EJECTION) != 0,
+        scheduling);
+  }
+
+  private static SchedulingTerms getSchedulingTerms(ByteBuffer in) {
+    return new SchedulingTerms(
+        in.getShort() & SHORT_MASK,
+        in.get() & BYTE_MASK,
+        in.get() & BYTE_MASK,
+        in.getShort() & SHORT_MASK);
+  }
+
   @Nullable
   private static PeerMessage decodeFlowQuery(ByteBuffer in) {
     int count = in.get() & BYTE_MASK;
@@ -236,9 +276,15 @@
         in.get() != 0,
         in.get() != 0,
         in.get() != 0,
+        getCapacityReport(in),
         getAddresses(in));
   }
 
+  private static CapacityReport getCapacityReport(ByteBuffer in) {
+    return new CapacityReport(
+        in.getShort() & SHORT_MASK, in.getShort() & SHORT_MASK, in.getShort() & SHORT_MASK);
+  }
+
   private static TargetReport getTarget(TargetPhase phase, ByteBuffer in) {
     return new TargetReport(
         in.getLong(),
--- a/forwarding/src/main/java/io/moorstage/forwarding/settings/ForwardingSettings.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/settings/ForwardingSettings.java
@@ -3,6 +3,7 @@
 import io.moorstage.core.model.Endpoint;
 import io.moorstage.core.settings.ForwardingPolicy;
 import io.moorstage.core.settings.Mechanism;
+import io.moorstage.core.settings.OverloadSettings;
 import java.io.IOException;
 import java.io.InputStream;
 import java.nio.charset.StandardCharsets;
@@ -10,6 +11,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Set;
+import java.util.function.UnaryOperator;
 import javax.annotation.Nullable;
 
 /**
@@ -30,6 +32,7 @@
  * @param target agent only: where the target receives segments
  * @param egress agent only: where the target sends its segments
  * @param service agent only: name of the target's service
+ * @param overloadControl whether requests are scheduled, and openings rejected, under overload
  * @param switchedOff mechanisms that are switched off for an experiment; empty in operation
  */
 public record ForwardingSettings(
@@ -46,11 +49,13 @@
     @Nullable Endpoint target,
     @Nullable Endpoint egress,
     @Nullable String service,
+    boolean overloadControl,
     Set<Mechanism> switchedOff) {
 
-  /** Returns the standard policy without the mechanisms that are switched off. */
+  /** Returns the standard policy, with overload control as set. */
   public ForwardingPolicy policy() {
-    return ForwardingPolicy.STANDARD.without(switchedOff);
+    OverloadSettings overload = overloadControl ? OverloadSettings.STANDARD : OverloadSettings.OFF;
+    return ForwardingPolicy.STANDARD.with(overload).without(switchedOff);
   }
 
   /** Maximum size of a settings file, in bytes. */
@@ -67,17 +72,20 @@
   /**
    * Reads a settings file.
    *
+   * @param translator replaces settings that a platform names in its own words
    * @throws ForwardingSettingsException if the file can't be read, is too large or has invalid
    *     settings; contains all problems found
    */
-  public static ForwardingSettings load(Program program, Path file)
+  public static ForwardingSettings load(
+      Program program, Path file, UnaryOperator<String> translator)
       throws ForwardingSettingsException {
     try (InputStream input = Files.newInputStream(file)) {
       byte[] content = input.readNBytes(MAX_FILE_BYTES + 1);
       if (content.length > MAX_FILE_BYTES) {
         throw unreadable("file is larger than " + MAX_FILE_BYTES + " bytes");
       }
-      return parse(program, new String(content, StandardCharsets.UTF_8));
+      String text = new String(content, StandardCharsets.UTF_8);
+      return parse(program, translator.apply(text));
     } catch (IOException e) {
       throw unreadable("file can't be read");
     }
@@ -112,6 +120,7 @@
             agent ? values.endpoint("agent.target-address") : null,
             agent ? values.endpoint("agent.egress-address") : null,
             agent ? values.text("agent.service") : null,
+            values.flag("overload.control"),
             values.mechanisms("experiment.without"));
     if (!values.problems().isEmpty()) {
       throw new ForwardingSettingsException(values.problems());
--- a/forwarding/src/main/java/io/moorstage/forwarding/settings/SettingsText.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/settings/SettingsText.java
@@ -87,6 +87,15 @@
         : endpoint.get();
   }
 
+  /** Returns whether a setting is {@code on}; it may be missing or empty, which means off. */
+  boolean flag(String key) {
+    String value = values.getOrDefault(key, "");
+    if (!value.isEmpty() && !value.equals("on") && !value.equals("off")) {
+      add(SettingsProblem.Kind.BAD_VALUE, key, "is neither on nor off");
+    }
+    return value.equals("on");
+  }
+
   /** Returns a comma-separated list of endpoints; the setting may be missing or empty. */
   List<Endpoint> endpoints(String key) {
     List<Endpoint> endpoints = new ArrayList<>();
--- a/forwarding/src/main/java/io/moorstage/forwarding/state/FleetStateCodec.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/state/FleetStateCodec.java
@@ -25,10 +25,10 @@
    * The first byte of a complete state. It changes with the format, so that nodes with different
    * formats reject each other's states instead of misreading them.
    */
-  private static final int COMPLETE = 6;
+  private static final int COMPLETE = 8;
 
   /** The first byte of changes since a revision; see {@link #COMPLETE}. */
-  private static final int CHANGES = 7;
+  private static final int CHANGES = 9;
 
   /**
    * The maximum number of entries of one kind, as a protection against forged counts; the largest
@@ -83,6 +83,8 @@
       out.writeInt(route.port());
       out.writeInt(route.timeoutMs());
       out.writeBoolean(route.repeatable());
+      out.writeInt(route.objectiveMs());
+      out.writeByte(route.priority());
       out.writeInt(route.services().size());
       for (WeightedService weighted : route.services()) {
         out.writeUTF(weighted.service());
@@ -164,12 +166,16 @@
       int port = in.readInt();
       int timeoutMs = in.readInt();
       boolean repeatable = in.readBoolean();
+      int objectiveMs = in.readInt();
+      int priority = in.readUnsignedByte();
       int serviceCount = readCount(in);
       List<WeightedService> services = new ArrayList<>(1);
       for (int j = 0; j < serviceCount; j++) {
         services.add(new WeightedService(in.readUTF(), in.readInt()));
       }
-      routes.add(new ForwardingRoute(address, port, timeoutMs, repeatable, services));
+      routes.add(
+          new ForwardingRoute(
+              address, port, timeoutMs, repeatable, objectiveMs, priority, services));
     }
     return new ForwardingConfiguration(version, idleTimeoutMs, routes, readColdStarts(in));
   }
--- a/forwarding/src/test/java/io/moorstage/forwarding/daemon/DaemonsTest.java
+++ b/forwarding/src/test/java/io/moorstage/forwarding/daemon/DaemonsTest.java
@@ -167,6 +167,7 @@
         isAgent ? Endpoint.of(AGENT, target.getLocalPort()) : null,
         isAgent ? Endpoint.of(AGENT, egressPort) : null,
         isAgent ? "s" : null,
+        false,
         Set.of());
   }
 
--- a/forwarding/src/test/java/io/moorstage/forwarding/peer/PeerMessageCodecTest.java
+++ b/forwarding/src/test/java/io/moorstage/forwarding/peer/PeerMessageCodecTest.java
@@ -3,9 +3,11 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import io.moorstage.core.flow.FlowId;
+import io.moorstage.core.message.CapacityReport;
 import io.moorstage.core.message.FlowQueryResult;
 import io.moorstage.core.message.ForwardTerms;
 import io.moorstage.core.message.GiveBackReason;
+import io.moorstage.core.message.SchedulingTerms;
 import io.moorstage.core.message.TargetReport;
 import io.moorstage.core.state.TargetPhase;
 import io.moorstage.forwarding.state.FleetStateCodec;
@@ -40,6 +42,18 @@
     assertThat(read.datagram()).isEqualTo(ByteBuffer.wrap(segment));
   }
 
+  @Test
+  void decodesTheSchedulingTermsOfAForwardedSegment() {
+    byte[] segment = {1, 2, 3, 4};
+    SchedulingTerms scheduling = new SchedulingTerms(261, 2, 255, 0xFFFE);
+    ForwardTerms terms = new ForwardTerms("tables", 42, 900, 12, true, true, scheduling);
+    PeerMessage.Forward read =
+        (PeerMessage.Forward)
+            encodeAndDecode(new PeerMessage.Forward(terms, ByteBuffer.wrap(segment)));
+    assertThat(read.terms()).isEqualTo(terms);
+    assertThat(read.datagram()).isEqualTo(ByteBuffer.wrap(segment));
+  }
+
   @Test
   void decodesASegmentGivenBackWithItsReason() {
     PeerMessage.GiveBack read =
@@ -98,14 +112,17 @@
     assertThat(read.confirmationAgeMs()).isEqualTo(120);
     assertThat(read.balancers()).asList().containsExactly(1, 2).inOrder();
 
+    CapacityReport capacity = new CapacityReport(65_000, 300, 512);
     PeerMessage.AgentBeacon agent =
         (PeerMessage.AgentBeacon)
             encodeAndDecode(
-                new PeerMessage.AgentBeacon("s", "lac", 3, 4, true, false, true, new int[0]));
+                new PeerMessage.AgentBeacon(
+                    "s", "lac", 3, 4, true, false, true, capacity, new int[0]));
     assertThat(agent.zone()).isEqualTo("lac");
     assertThat(agent.stopping()).isTrue();
     assertThat(agent.targetEnded()).isTrue();
     assertThat(agent.busyFlows()).isEqualTo(4);
+    assertThat(agent.capacityReport()).isEqualTo(capacity);
   }
 
   @Property(seed = "20261202", tries = 20_000)
--- a/forwarding/src/test/java/io/moorstage/forwarding/settings/ForwardingSettingsTest.java
+++ b/forwarding/src/test/java/io/moorstage/forwarding/settings/ForwardingSettingsTest.java
@@ -6,6 +6,7 @@
 import io.moorstage.core.model.Endpoint;
 import io.moorstage.core.settings.Mechanism;
 import java.nio.file.Path;
+import java.util.function.UnaryOperator;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -88,6 +89,22 @@
             "MISSING agent.service");
   }
 
+  @Test
+  void overloadControlIsOffUnlessItIsSet() throws ForwardingSettingsException {
+    assertThat(parseBalancer("").overloadControl()).isFalse();
+    assertThat(parseBalancer("overload.control: off").overloadControl()).isFalse();
+    assertThat(parseBalancer("overload.control: on").overloadControl()).isTrue();
+    assertThat(parseBalancer("overload.control: on").policy().overload().enabled()).isTrue();
+    ForwardingSettingsException rejection =
+        assertThrows(
+            ForwardingSettingsException.class, () -> parseBalancer("overload.control: maybe"));
+    assertThat(rejection.failure()).isEqualTo(SettingsProblem.Kind.BAD_VALUE);
+  }
+
+  private static ForwardingSettings parseBalancer(String line) throws ForwardingSettingsException {
+    return ForwardingSettings.parse(ForwardingSettings.Program.BALANCER, BALANCER + line + "\n");
+  }
+
   @Test
   void missingFileIsReportedAsUnreadable() {
     ForwardingSettingsException rejection =
@@ -95,7 +112,9 @@
             ForwardingSettingsException.class,
             () ->
                 ForwardingSettings.load(
-                    ForwardingSettings.Program.BALANCER, Path.of("no-such-file")));
+                    ForwardingSettings.Program.BALANCER,
+                    Path.of("no-such-file"),
+                    UnaryOperator.identity()));
     assertThat(rejection.failure()).isEqualTo(SettingsProblem.Kind.UNREADABLE);
   }
 }
