--- a/core/src/main/java/io/moorstage/core/balancer/FlowBalancer.java
+++ b/core/src/main/java/io/moorstage/core/balancer/FlowBalancer.java
@@ -117,6 +117,7 @@
 
   private void updateSlot(TargetSlot slot, AgentReport report, long nowMs) {
     slot.recordBusyFlows(report.busyFlows(), nowMs);
+    slot.recordCapacity(report.capacityReport(), nowMs);
     slot.markAgentSeen(nowMs);
     slot.recordEjection(report.targetEjected(), policy.opening().suspicionMs(), nowMs);
     if (report.stopping() || report.targetEnded()) {
--- a/core/src/main/java/io/moorstage/core/placement/TargetSlot.java
+++ b/core/src/main/java/io/moorstage/core/placement/TargetSlot.java
@@ -1,6 +1,7 @@
 package io.moorstage.core.placement;
 
 import io.moorstage.core.flow.FlowId;
+import io.moorstage.core.message.CapacityReport;
 import io.moorstage.core.state.TargetPhase;
 import io.moorstage.core.state.TargetRecord;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -36,6 +37,8 @@
   private final AtomicInteger placedSinceReport = new AtomicInteger();
   private volatile long reportedAtMs = NEVER;
   private volatile long agentLastSeenMs = NEVER;
+  private volatile CapacityReport capacityReport = CapacityReport.UNKNOWN;
+  private volatile long capacityReportedAtMs = NEVER;
 
   /** Creates the slot of a target that has just been listed, or whose agent has just appeared. */
   public TargetSlot(TargetRecord record, long nowMs) {
@@ -146,6 +149,22 @@
     reportedAtMs = nowMs;
   }
 
+  /** Records what the agent reports of the target's capacity. */
+  public void recordCapacity(CapacityReport report, long nowMs) {
+    capacityReport = report;
+    capacityReportedAtMs = nowMs;
+  }
+
+  /**
+   * Returns the last report of the target's capacity, or {@link CapacityReport#UNKNOWN} if there is
+   * none or it is stale.
+   *
+   * @param validMs the age in milliseconds above which a report is stale
+   */
+  public CapacityReport capacityReport(int validMs, long nowMs) {
+    return nowMs - capacityReportedAtMs <= validMs ? capacityReport : CapacityReport.UNKNOWN;
+  }
+
   /**
    * Returns the rank of this target for a flow, as an unsigned number; the highest rank comes
    * first.
--- a/lab/src/test/java/io/moorstage/lab/docs/OperationsPageTest.java
+++ b/lab/src/test/java/io/moorstage/lab/docs/OperationsPageTest.java
@@ -36,6 +36,7 @@
           "port", "port",
           "endpoint", "address:port",
           "endpoints", "list of address:port, optional",
+          "flag", "on or off, optional",
           "mechanisms", "list of mechanisms, optional");
 
   private String page;
