Fill in the scheduling terms of flows at the balancer

Agents need the objective, priority, client order and origin zone of a flow to schedule its requests under overload, and the terms that balancers sent had none of them.

With overload control on, a balancer takes objective and priority from the route, and the client order from a hash of the client's address and the number of the current period. The order of a flow stays the same when its terms are created again for a newer configuration.

--- a/core/src/main/java/io/moorstage/core/balancer/BalancerTables.java
+++ b/core/src/main/java/io/moorstage/core/balancer/BalancerTables.java
@@ -2,6 +2,7 @@
 
 import io.moorstage.core.flow.FlowId;
 import io.moorstage.core.message.ForwardTerms;
+import io.moorstage.core.message.SchedulingTerms;
 import io.moorstage.core.placement.TargetPool;
 import io.moorstage.core.placement.TargetPools;
 import io.moorstage.core.placement.TargetSlot;
@@ -26,6 +27,7 @@
 final class BalancerTables {
   private final ForwardingPolicy policy;
   private final String zone;
+  private final int zoneKey;
   private final BalancerActions actions;
   private final long startedAtMs;
   private final Map<FlowId, BalancerFlow> flows = new HashMap<>();
@@ -34,10 +36,12 @@
   private TargetPools pools;
   private FleetState state = FleetState.EMPTY;
   private long stateAtMs;
+  private long orderPeriod;
 
   BalancerTables(ForwardingPolicy policy, String zone, BalancerActions actions, long nowMs) {
     this.policy = policy;
     this.zone = zone;
+    this.zoneKey = ClientOrder.zoneKey(zone);
     this.actions = actions;
     this.startedAtMs = nowMs;
     this.agents = new AgentDirectory(policy);
@@ -148,7 +152,7 @@
     return terms;
   }
 
-  private static ForwardTerms newTermsOf(
+  private ForwardTerms newTermsOf(
       BalancerFlow flow, String service, ForwardingConfiguration configuration) {
     ForwardingRoute route = configuration.routeOf(flow.id());
     return new ForwardTerms(
@@ -157,7 +161,38 @@
         route == null ? 0 : route.timeoutMs(),
         configuration.coldStartOf(service).openingsPerS(),
         route != null && route.repeatable(),
-        flow.overridesEjection());
+        flow.overridesEjection(),
+        policy.overload().enabled() ? schedulingOf(flow, route) : null);
+  }
+
+  // ---- overload control ----
+
+  /** Sets the number of the current period of the order of clients. */
+  void setOrderPeriod(long period) {
+    orderPeriod = period;
+  }
+
+  /**
+   * Returns the rank of a flow's requests under the current configuration, as in the terms of its
+   * segments. The client order is that of the terms last sent, or of the current period if none
+   * were sent.
+   */
+  int rankOf(BalancerFlow flow) {
+    return schedulingOf(flow, state.configuration().routeOf(flow.id())).rank();
+  }
+
+  private SchedulingTerms schedulingOf(BalancerFlow flow, @Nullable ForwardingRoute route) {
+    SchedulingTerms known = flow.terms() == null ? null : flow.terms().scheduling();
+    // A request that waits at an agent keeps its place in the order when a period ends.
+    int clientOrder =
+        known == null
+            ? ClientOrder.of(flow.id().clientAddress(), orderPeriod)
+            : known.clientOrder();
+    return new SchedulingTerms(
+        route == null ? 0 : route.objectiveMs(),
+        route == null ? SchedulingTerms.LOWEST_PRIORITY : route.priority(),
+        clientOrder,
+        zoneKey);
   }
 
   /**
--- a/core/src/main/java/io/moorstage/core/balancer/FlowBalancer.java
+++ b/core/src/main/java/io/moorstage/core/balancer/FlowBalancer.java
@@ -88,6 +88,14 @@
     }
   }
 
+  /**
+   * Sets the number of the current period of the order of clients under overload. All balancers
+   * derive it from the time of day, so that they agree on the order.
+   */
+  public synchronized void setOrderPeriod(long period) {
+    tables.setOrderPeriod(period);
+  }
+
   /** Records until when the configuration source has confirmed the state as current. */
   public synchronized void onConfirmed(long untilMs) {
     opener.onConfirmed(untilMs);
