Admit openings at the balancer by the ranks that agents admit

An opening that an overloaded target rejected was tried at every candidate before its reset, and made the rejecting targets suspect.

With overload control on, a balancer resets an opening at once, without a message to an agent, if no eligible target of the service admits its rank and all of them have a valid report. Targets that do not admit the rank are candidates only if there are no others.

An opening is never reset because of load while a target may accept an earlier copy. This includes openings of which the balancer has seen only a retransmission, as the first copy may have gone to a target through another balancer.

--- a/core/src/main/java/io/moorstage/core/balancer/BalancerFlow.java
+++ b/core/src/main/java/io/moorstage/core/balancer/BalancerFlow.java
@@ -36,6 +36,11 @@
 
   private int openingsNotGivenBack;
 
+  private boolean rejectedAsOverloaded;
+
+  /** Whether earlier copies of the opening may have gone to a target through another balancer. */
+  private boolean missesEarlierCopies;
+
   private long openedAtMs;
   private long lastUsedMs;
   private boolean closed;
@@ -212,6 +217,28 @@
     return openingsNotGivenBack > 0;
   }
 
+  /** Records that the first opening segment that this balancer has seen is a retransmission. */
+  void markEarlierCopiesMissed() {
+    missesEarlierCopies = true;
+  }
+
+  /**
+   * Returns whether a target may have accepted the flow or may still accept a copy of its opening,
+   * as far as this balancer can know.
+   */
+  boolean mayHaveBeenAccepted() {
+    return targetResponded || missesEarlierCopies || hasOpeningsNotGivenBack();
+  }
+
+  /** Records that an agent has given back the opening since its target is overloaded. */
+  void markRejectedAsOverloaded() {
+    rejectedAsOverloaded = true;
+  }
+
+  boolean isRejectedAsOverloaded() {
+    return rejectedAsOverloaded;
+  }
+
   /** Returns the targets that did not respond to the opening or whose agent gave it back. */
   List<TargetSlot> tried() {
     return tried;
--- a/core/src/main/java/io/moorstage/core/balancer/BalancerTables.java
+++ b/core/src/main/java/io/moorstage/core/balancer/BalancerTables.java
@@ -79,6 +79,10 @@
     return pools.ofService(service);
   }
 
+  Iterable<TargetPool> pools() {
+    return pools.pools();
+  }
+
   Iterable<TargetSlot> slots() {
     return pools.slots();
   }
--- a/core/src/main/java/io/moorstage/core/balancer/FlowBalancer.java
+++ b/core/src/main/java/io/moorstage/core/balancer/FlowBalancer.java
@@ -7,6 +7,7 @@
 import io.moorstage.core.message.AgentReport;
 import io.moorstage.core.message.FlowQueryResult;
 import io.moorstage.core.message.GiveBackReason;
+import io.moorstage.core.message.SchedulingTerms;
 import io.moorstage.core.placement.TargetSlot;
 import io.moorstage.core.settings.ForwardingPolicy;
 import io.moorstage.core.settings.Mechanism;
@@ -241,6 +242,14 @@
     tables.sweep(nowMs);
   }
 
+  /**
+   * Returns the lowest admission level of all services: openings of a higher rank are reset. It is
+   * {@link SchedulingTerms#ADMIT_ALL} if no opening is, as without overload control.
+   */
+  public synchronized int lowestAdmissionLevel(long nowMs) {
+    return opener.lowestAdmissionLevel(nowMs);
+  }
+
   /** Returns the number of flows in this balancer's flow table. */
   public synchronized int flowCount() {
     return tables.flowCount();
--- a/core/src/main/java/io/moorstage/core/balancer/FlowOpener.java
+++ b/core/src/main/java/io/moorstage/core/balancer/FlowOpener.java
@@ -34,10 +34,15 @@
     this.actions = actions;
     this.log = log;
     this.tables = tables;
-    this.retries = new OpeningRetries(policy.opening(), tables);
+    this.retries = new OpeningRetries(policy, tables);
     this.waiting = new WaitingOpenings(policy.opening());
   }
 
+  /** Returns the lowest admission level of all services. */
+  int lowestAdmissionLevel(long nowMs) {
+    return retries.lowestLevel(nowMs);
+  }
+
   /** Records until when the configuration source has confirmed the state as current. */
   void onConfirmed(long untilMs) {
     confirmedUntilMs = untilMs;
@@ -117,6 +122,9 @@
       return;
     }
     BalancerFlow flow = BalancerFlow.opening(segment.flow(), service, nowMs);
+    if (segment.copy() > 0) {
+      flow.markEarlierCopiesMissed();
+    }
     tables.add(flow);
     place(flow, segment, datagram, "new", nowMs);
   }
@@ -144,7 +152,11 @@
   private void place(
       BalancerFlow flow, Segment segment, ByteBuffer datagram, String reason, long nowMs) {
     TargetPool pool = tables.candidatesOf(flow.service(), nowMs);
-    TargetSlot chosen = pool == null ? null : pool.choose(flow.id(), flow.tried(), nowMs);
+    if (pool != null && retries.isOverloaded(flow, pool, nowMs)) {
+      rejectOverloaded(flow, segment, nowMs);
+      return;
+    }
+    TargetSlot chosen = pool == null ? null : retries.chooseTarget(flow, pool, nowMs);
     if (chosen == null) {
       waitOrReject(flow, segment, datagram, nowMs);
       return;
@@ -155,7 +167,19 @@
     tables.send(flow, chosen, datagram);
   }
 
+  private void rejectOverloaded(BalancerFlow flow, Segment segment, long nowMs) {
+    // While a target may still accept a copy, the last copy that is given back leads to the reset.
+    if (!flow.mayHaveBeenAccepted()) {
+      tables.remove(flow);
+      resetOpening(segment, OpeningRetries.Rejection.OVERLOADED.reason(), nowMs);
+    }
+  }
+
   private void waitOrReject(BalancerFlow flow, Segment segment, ByteBuffer datagram, long nowMs) {
+    if (flow.isRejectedAsOverloaded() && flow.mayHaveBeenAccepted()) {
+      // The targets that were tried count towards the limit of placements.
+      return;
+    }
     if (flow.hasOpeningsNotGivenBack()) {
       // A target may still accept the opening, and a reset could break the open flow.
       flow.clearTried();
@@ -201,13 +225,17 @@
     if (flow != null) {
       flow.countOpeningGivenBack();
     }
+    boolean overloaded = reason == GiveBackReason.OVERLOADED;
     if (reason == GiveBackReason.OLD_CONFIGURATION) {
       removeUnlessOpen(flow);
       waitForConfiguration(agentAddress, agentVersion, segment, datagram, nowMs);
-    } else if (flow != null) {
+    } else if (flow != null && !(overloaded && flow.hasTargetResponded())) {
+      // An open flow does not need a copy of its opening that waited at another target.
       boolean wasPlacedThere = exclude(flow, agentAddress, reason, nowMs);
-      // A retransmission may have been placed at another target in the meantime.
-      if (flow.target() == null || wasPlacedThere) {
+      if (overloaded) {
+        flow.markRejectedAsOverloaded();
+      }
+      if (retries.isPlacedAgain(flow, wasPlacedThere)) {
         place(flow, segment, datagram, reason.name(), nowMs);
       }
     }
--- a/core/src/main/java/io/moorstage/core/balancer/OpeningRetries.java
+++ b/core/src/main/java/io/moorstage/core/balancer/OpeningRetries.java
@@ -1,11 +1,17 @@
 package io.moorstage.core.balancer;
 
+import io.moorstage.core.log.DecisionLog;
 import io.moorstage.core.message.GiveBackReason;
+import io.moorstage.core.message.SchedulingTerms;
 import io.moorstage.core.placement.TargetPool;
 import io.moorstage.core.placement.TargetSlot;
+import io.moorstage.core.settings.ForwardingPolicy;
+import io.moorstage.core.settings.Mechanism;
 import io.moorstage.core.settings.OpeningSettings;
+import io.moorstage.core.settings.OverloadSettings;
 import java.util.ArrayList;
 import java.util.List;
+import javax.annotation.Nullable;
 
 /**
  * Decides whether an opening that its first target has not accepted is retried, where, and when it
@@ -25,7 +31,11 @@
  *
  * <p>A target whose agent gave an opening back gets no new flows for {@code suspicionMs}, or longer
  * if it has left openings without a response before; a cold one gets none for {@value
- * #COLD_PAUSE_MS} ms. A full target is excluded for this flow only.
+ * #COLD_PAUSE_MS} ms. A full or overloaded target is excluded for this flow only.
+ *
+ * <p>With overload control, an opening whose rank is above the service's {@link AdmissionLevel} is
+ * rejected at once. One that an agent gave back as overloaded is placed again at the least loaded
+ * candidate, until {@code maxPlacements} targets have rejected it.
  */
 final class OpeningRetries {
   /**
@@ -36,6 +46,8 @@
   private static final int COLD_PAUSE_MS = 200;
 
   private final OpeningSettings settings;
+  private final OverloadSettings overload;
+  private final AdmissionLevel level;
   private final BalancerTables tables;
 
   /** The destination of a retransmitted opening segment. */
@@ -54,6 +66,8 @@
     EVACUATED("evacuated"),
     /** Reset: cold targets have reached their limit of new flows. */
     COLD("cold"),
+    /** Reset: the service is overloaded, and the opening's rank is too high. */
+    OVERLOADED(DecisionLog.OVERLOADED),
     /** No target has rejected the opening: it may wait for a target, and is reset otherwise. */
     MAY_WAIT("no-target"),
     /** Reset: every candidate has rejected the opening or not responded to it. */
@@ -71,11 +85,76 @@
     }
   }
 
-  OpeningRetries(OpeningSettings settings, BalancerTables tables) {
-    this.settings = settings;
+  OpeningRetries(ForwardingPolicy policy, BalancerTables tables) {
+    this.settings = policy.opening();
+    this.overload = policy.overload();
+    this.level = new AdmissionLevel(policy.uses(Mechanism.SUSPICION));
     this.tables = tables;
   }
 
+  /**
+   * Chooses the next target of an opening.
+   *
+   * @param pool the candidates of the flow's service
+   * @return the target, or null if there is no candidate
+   */
+  @Nullable
+  TargetSlot chooseTarget(BalancerFlow flow, TargetPool pool, long nowMs) {
+    if (!overload.enabled()) {
+      return pool.choose(flow.id(), flow.tried(), nowMs);
+    }
+    int rank = tables.rankOf(flow);
+    return flow.isRejectedAsOverloaded()
+        ? pool.leastLoaded(flow.id(), flow.tried(), rank, nowMs)
+        : pool.choose(flow.id(), flow.tried(), rank, nowMs);
+  }
+
+  /**
+   * Returns whether an opening is rejected as overload although there may be candidates left.
+   *
+   * @param pool the candidates of the flow's service
+   */
+  boolean isOverloaded(BalancerFlow flow, TargetPool pool, long nowMs) {
+    return overload.enabled() && (hasReachedMaxPlacements(flow) || isAboveLevel(flow, pool, nowMs));
+  }
+
+  private boolean hasReachedMaxPlacements(BalancerFlow flow) {
+    return flow.isRejectedAsOverloaded()
+        && flow.tried().size() >= overload.maxPlacements()
+        && !tables.isEvacuated(flow.service());
+  }
+
+  // The level does not apply to an opening that a target may accept through an earlier copy: it
+  // must not be reset, and without a further placement its client would wait in vain.
+  private boolean isAboveLevel(BalancerFlow flow, TargetPool pool, long nowMs) {
+    return !flow.mayHaveBeenAccepted() && !level.admits(pool, tables.rankOf(flow), nowMs);
+  }
+
+  /**
+   * Returns whether an opening that an agent gave back has to be placed again, or rejected.
+   *
+   * @param wasPlacedThere whether the flow was last placed at the agent's target
+   */
+  boolean isPlacedAgain(BalancerFlow flow, boolean wasPlacedThere) {
+    if (flow.target() == null || wasPlacedThere) {
+      return true;
+    }
+    // A retransmission was placed at another target in the meantime. If that one has given it back
+    // too, no target has the opening, and the client would wait for its time-out.
+    return overload.enabled() && flow.isRejectedAsOverloaded() && !flow.hasOpeningsNotGivenBack();
+  }
+
+  /** Returns the lowest admission level of all services. */
+  int lowestLevel(long nowMs) {
+    int lowest = SchedulingTerms.ADMIT_ALL;
+    if (overload.enabled()) {
+      for (TargetPool pool : tables.pools()) {
+        lowest = Math.min(lowest, level.of(pool, nowMs));
+      }
+    }
+    return lowest;
+  }
+
   /** Returns the destination of a retransmission of a flow's opening segment. */
   Destination destinationOf(BalancerFlow flow, long nowMs) {
     TargetSlot target = flow.target();
@@ -107,7 +186,7 @@
 
   /**
    * Excludes a target from new flows because it did not respond to an opening or its agent gave the
-   * opening back. A full target is not excluded from other flows.
+   * opening back. A full or overloaded target is not excluded from other flows.
    */
   void exclude(TargetSlot target, GiveBackReason reason, long nowMs) {
     int suspicionMs = settings.suspicionMs();
@@ -115,7 +194,7 @@
       case SILENT, ENDED -> target.recordFailedOpening(suspicionMs, nowMs);
       case COLD -> target.markColdAtLimit(COLD_PAUSE_MS, nowMs);
       case UNFIT -> target.recordEjection(true, suspicionMs, nowMs);
-      case FULL -> {}
+      case FULL, OVERLOADED -> {}
       default -> target.markSuspect(suspicionMs, nowMs);
     }
   }
@@ -128,6 +207,9 @@
     if (tables.hasColdAtLimit(flow.service(), nowMs)) {
       return Rejection.COLD;
     }
+    if (flow.isRejectedAsOverloaded()) {
+      return Rejection.OVERLOADED;
+    }
     return flow.tried().isEmpty() ? Rejection.MAY_WAIT : Rejection.NO_TARGET;
   }
 }
--- a/core/src/main/java/io/moorstage/core/log/DecisionLog.java
+++ b/core/src/main/java/io/moorstage/core/log/DecisionLog.java
@@ -7,6 +7,9 @@
   /** Discards all decisions. */
   DecisionLog NONE = (decision, flow, address, reason, ageMs) -> {};
 
+  /** Reason of a reset: the service is overloaded and does not admit the opening's rank. */
+  String OVERLOADED = "overloaded";
+
   /**
    * Records a decision.
    *
--- a/core/src/main/java/io/moorstage/core/placement/TargetChoice.java
+++ b/core/src/main/java/io/moorstage/core/placement/TargetChoice.java
@@ -4,6 +4,7 @@
 import io.moorstage.core.settings.ForwardingPolicy;
 import io.moorstage.core.settings.Mechanism;
 import java.util.List;
+import java.util.function.Function;
 import javax.annotation.Nullable;
 
 /**
@@ -17,9 +18,11 @@
  * <p>Candidates are the targets that are {@link Eligibility#ELIGIBLE}. Ejected targets are also
  * candidates while most targets are ejected, since the others could not handle the load. Suspect
  * targets are also candidates when there is no other, since a target that does not answer may still
- * be running. Rendezvous hashing ranks the candidates for the flow. The less loaded of the two
- * highest ranked candidates in the balancer's own zone gets the flow if it has room. Otherwise the
- * less loaded of the two highest ranked candidates in all zones gets it.
+ * be running. Under overload control, targets whose agents do not admit the opening's rank are
+ * candidates only if no other target is, except suspect ones. Rendezvous hashing ranks the
+ * candidates for the flow. The less loaded of the two highest ranked candidates in the balancer's
+ * own zone gets the flow if it has room. Otherwise the less loaded of the two highest ranked
+ * candidates in all zones gets it.
  *
  * <p>Comparing two candidates balances the load nearly as well as comparing all (Mitzenmacher,
  * 2001). Since the two depend only on the flow, the zone and the set of candidates, a balancer that
@@ -31,6 +34,9 @@
   /** An agent reports at least every 500 ms: its load is stale when three reports are missing. */
   private static final int REPORT_VALID_MS = 1_500;
 
+  /** The rank of an opening that every agent admits, as without overload control. */
+  static final int ANY_RANK = 0;
+
   /** With this validity every report counts as stale, so load reports are not used. */
   private static final int REPORTS_IGNORED_MS = -1;
 
@@ -73,6 +79,7 @@
    * Chooses the target of a new flow.
    *
    * @param tried targets that have rejected the flow or left it unanswered
+   * @param rank the rank of the opening, {@link #ANY_RANK} without overload control
    * @param admitsEjected whether ejected targets are candidates too
    * @return the target, or null if there is no candidate
    */
@@ -81,26 +88,67 @@
       List<TargetSlot> slots,
       FlowId flow,
       List<TargetSlot> tried,
+      int rank,
       boolean admitsEjected,
       long nowMs) {
-    CandidateFilter filter =
-        new CandidateFilter(flow.hash(), tried, admitsEjected, !avoidsSuspects);
-    TargetSlot choice = chooseAmong(filter, slots, nowMs);
-    return choice != null ? choice : chooseAmong(filter.withSuspects(), slots, nowMs);
+    return chooseFirst(
+        new CandidateFilter(flow.hash(), tried, rank, admitsEjected, !avoidsSuspects),
+        filter -> chooseAmong(filter, slots, nowMs));
+  }
+
+  /**
+   * Returns the least loaded candidate; of several, the one that ranks highest for the flow.
+   * Parameters as for {@link #choose}.
+   */
+  @Nullable
+  TargetSlot leastLoaded(
+      List<TargetSlot> slots,
+      FlowId flow,
+      List<TargetSlot> tried,
+      int rank,
+      boolean admitsEjected,
+      long nowMs) {
+    return chooseFirst(
+        new CandidateFilter(flow.hash(), tried, rank, admitsEjected, !avoidsSuspects),
+        filter -> leastLoadedAmong(filter, slots, nowMs));
+  }
+
+  // Chooses among the targets that admit the opening, then among all that are not suspect, then
+  // among all.
+  @Nullable
+  private static TargetSlot chooseFirst(
+      CandidateFilter filter, Function<CandidateFilter, TargetSlot> choice) {
+    TargetSlot chosen = choice.apply(filter);
+    if (chosen == null && filter.rank() != ANY_RANK) {
+      chosen = choice.apply(filter.withAnyRank());
+    }
+    return chosen != null ? chosen : choice.apply(filter.withAnyRank().withSuspects());
   }
 
   /** Decides which targets are candidates in one pass over the targets. */
   private record CandidateFilter(
-      long flowHash, List<TargetSlot> tried, boolean admitsEjected, boolean admitsSuspects) {
+      long flowHash,
+      List<TargetSlot> tried,
+      int rank,
+      boolean admitsEjected,
+      boolean admitsSuspects) {
 
     CandidateFilter withSuspects() {
-      return new CandidateFilter(flowHash, tried, admitsEjected, true);
+      return new CandidateFilter(flowHash, tried, rank, admitsEjected, true);
+    }
+
+    CandidateFilter withAnyRank() {
+      return new CandidateFilter(flowHash, tried, ANY_RANK, admitsEjected, admitsSuspects);
     }
 
     boolean isCandidate(TargetSlot slot, long nowMs) {
       boolean eligible =
           slot.eligibility(!admitsSuspects, !admitsEjected, nowMs) == Eligibility.ELIGIBLE;
-      return eligible && !isTried(slot.address());
+      return eligible && admitsRank(slot, nowMs) && !isTried(slot.address());
+    }
+
+    private boolean admitsRank(TargetSlot slot, long nowMs) {
+      return rank == ANY_RANK || slot.admittedRank(nowMs) >= rank;
     }
 
     private boolean isTried(int address) {
@@ -131,6 +179,31 @@
     return staysInZone ? local : lessLoaded(ofAll, nowMs);
   }
 
+  @Nullable
+  private TargetSlot leastLoadedAmong(CandidateFilter filter, List<TargetSlot> slots, long nowMs) {
+    TargetSlot least = null;
+    double leastLoad = 0;
+    for (TargetSlot slot : slots) {
+      if (!filter.isCandidate(slot, nowMs)) {
+        continue;
+      }
+      double load = weightedLoad(slot, nowMs);
+      boolean isLess =
+          least == null
+              || load < leastLoad
+              || (load == leastLoad && ranksHigher(slot, least, filter.flowHash()));
+      if (isLess) {
+        least = slot;
+        leastLoad = load;
+      }
+    }
+    return least;
+  }
+
+  private static boolean ranksHigher(TargetSlot slot, TargetSlot other, long flowHash) {
+    return Long.compareUnsigned(slot.rank(flowHash), other.rank(flowHash)) > 0;
+  }
+
   private boolean hasRoom(TargetSlot slot, long nowMs) {
     return weightedLoad(slot, nowMs) <= MAX_OWN_ZONE_LOAD
         && slot.averageUtilization() <= MAX_OWN_ZONE_UTILIZATION;
@@ -161,16 +234,12 @@
     }
 
     private void add(TargetSlot slot) {
-      if (first == null || ranksHigher(slot, first)) {
+      if (first == null || ranksHigher(slot, first, flowHash)) {
         second = first;
         first = slot;
-      } else if (second == null || ranksHigher(slot, second)) {
+      } else if (second == null || ranksHigher(slot, second, flowHash)) {
         second = slot;
       }
     }
-
-    private boolean ranksHigher(TargetSlot slot, TargetSlot other) {
-      return Long.compareUnsigned(slot.rank(flowHash), other.rank(flowHash)) > 0;
-    }
   }
 }
--- a/core/src/main/java/io/moorstage/core/placement/TargetPool.java
+++ b/core/src/main/java/io/moorstage/core/placement/TargetPool.java
@@ -112,7 +112,29 @@
    */
   @Nullable
   public TargetSlot choose(FlowId flow, List<TargetSlot> tried, long nowMs) {
-    return choice.choose(slots, flow, tried, mostAreEjected(nowMs), nowMs);
+    return choose(flow, tried, TargetChoice.ANY_RANK, nowMs);
+  }
+
+  /**
+   * Chooses the target of a new flow under overload control; see {@link TargetChoice}.
+   *
+   * @param tried targets that have rejected the flow or left it unanswered
+   * @param rank the rank of the opening: targets whose agents admit only lower ranks are candidates
+   *     only if there are no others
+   * @return the target, or null if there is no candidate
+   */
+  @Nullable
+  public TargetSlot choose(FlowId flow, List<TargetSlot> tried, int rank, long nowMs) {
+    return choice.choose(slots, flow, tried, rank, mostAreEjected(nowMs), nowMs);
+  }
+
+  /**
+   * Returns the least loaded candidate of all zones for an opening that was rejected as overloaded,
+   * or null if there is no candidate; parameters as for {@link #choose(FlowId, List, int, long)}.
+   */
+  @Nullable
+  public TargetSlot leastLoaded(FlowId flow, List<TargetSlot> tried, int rank, long nowMs) {
+    return choice.leastLoaded(slots, flow, tried, rank, mostAreEjected(nowMs), nowMs);
   }
 
   /**
--- a/core/src/main/java/io/moorstage/core/placement/TargetPools.java
+++ b/core/src/main/java/io/moorstage/core/placement/TargetPools.java
@@ -76,6 +76,11 @@
     return null;
   }
 
+  /** Returns the pools of all services. */
+  public Iterable<TargetPool> pools() {
+    return poolsByService.values();
+  }
+
   /** Returns the slots of all targets. */
   public Iterable<TargetSlot> slots() {
     return slotsById.values();
--- a/core/src/main/java/io/moorstage/core/placement/TargetSlot.java
+++ b/core/src/main/java/io/moorstage/core/placement/TargetSlot.java
@@ -2,6 +2,7 @@
 
 import io.moorstage.core.flow.FlowId;
 import io.moorstage.core.message.CapacityReport;
+import io.moorstage.core.message.SchedulingTerms;
 import io.moorstage.core.state.TargetPhase;
 import io.moorstage.core.state.TargetRecord;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -23,6 +24,12 @@
   /** Much longer than a request of about 50 ms, but shorter than a change in the traffic. */
   private static final double AVERAGING_MS = 2_000;
 
+  /**
+   * Four missing reports of a loaded agent, which reports every 100 ms. An agent that has stopped
+   * must not keep openings rejected for longer.
+   */
+  private static final int ADMITTED_RANK_VALID_MS = 500;
+
   private volatile TargetRecord record;
   private volatile boolean evacuated;
   private final long hash;
@@ -85,7 +92,7 @@
    * @param avoidsSuspects whether a suspect target is ineligible
    * @param avoidsEjected whether an ejected target is ineligible
    */
-  Eligibility eligibility(boolean avoidsSuspects, boolean avoidsEjected, long nowMs) {
+  public Eligibility eligibility(boolean avoidsSuspects, boolean avoidsEjected, long nowMs) {
     if (record.phase() != TargetPhase.READY) {
       return Eligibility.LEAVING;
     }
@@ -165,6 +172,14 @@
     return nowMs - capacityReportedAtMs <= validMs ? capacityReport : CapacityReport.UNKNOWN;
   }
 
+  /**
+   * Returns the highest rank of an opening that the agent admits by its last report, or {@link
+   * SchedulingTerms#ADMIT_ALL} if there is no report or it is stale.
+   */
+  public int admittedRank(long nowMs) {
+    return capacityReport(ADMITTED_RANK_VALID_MS, nowMs).admittedRank();
+  }
+
   /**
    * Returns the rank of this target for a flow, as an unsigned number; the highest rank comes
    * first.
