--- a/core/src/main/java/io/moorstage/core/placement/TargetChoice.java
+++ b/core/src/main/java/io/moorstage/core/placement/TargetChoice.java
@@ -4,7 +4,6 @@
 import io.moorstage.core.settings.ForwardingPolicy;
 import io.moorstage.core.settings.Mechanism;
 import java.util.List;
-import java.util.function.Function;
 import javax.annotation.Nullable;
 
 /**
@@ -91,9 +90,9 @@
       int rank,
       boolean admitsEjected,
       long nowMs) {
-    return chooseFirst(
-        new CandidateFilter(flow.hash(), tried, rank, admitsEjected, !avoidsSuspects),
-        filter -> chooseAmong(filter, slots, nowMs));
+    CandidateFilter filter =
+        new CandidateFilter(flow.hash(), tried, rank, admitsEjected, !avoidsSuspects);
+    return chooseStepwise(filter, slots, false, nowMs);
   }
 
   /**
@@ -108,21 +107,29 @@
       int rank,
       boolean admitsEjected,
       long nowMs) {
-    return chooseFirst(
-        new CandidateFilter(flow.hash(), tried, rank, admitsEjected, !avoidsSuspects),
-        filter -> leastLoadedAmong(filter, slots, nowMs));
+    CandidateFilter filter =
+        new CandidateFilter(flow.hash(), tried, rank, admitsEjected, !avoidsSuspects);
+    return chooseStepwise(filter, slots, true, nowMs);
   }
 
   // Chooses among the targets that admit the opening, then among all that are not suspect, then
   // among all.
   @Nullable
-  private static TargetSlot chooseFirst(
-      CandidateFilter filter, Function<CandidateFilter, TargetSlot> choice) {
-    TargetSlot chosen = choice.apply(filter);
+  private TargetSlot chooseStepwise(
+      CandidateFilter filter, List<TargetSlot> slots, boolean comparesAll, long nowMs) {
+    TargetSlot chosen = chooseAmong(filter, slots, comparesAll, nowMs);
     if (chosen == null && filter.rank() != ANY_RANK) {
-      chosen = choice.apply(filter.withAnyRank());
+      chosen = chooseAmong(filter.withAnyRank(), slots, comparesAll, nowMs);
     }
-    return chosen != null ? chosen : choice.apply(filter.withAnyRank().withSuspects());
+    return chosen != null
+        ? chosen
+        : chooseAmong(filter.withAnyRank().withSuspects(), slots, comparesAll, nowMs);
+  }
+
+  @Nullable
+  private TargetSlot chooseAmong(
+      CandidateFilter filter, List<TargetSlot> slots, boolean comparesAll, long nowMs) {
+    return comparesAll ? leastLoadedAmong(filter, slots, nowMs) : chooseAmong(filter, slots, nowMs);
   }
 
   /** Decides which targets are candidates in one pass over the targets. */
