--- a/forwarding/src/main/java/io/moorstage/forwarding/daemon/BalancerDaemon.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/daemon/BalancerDaemon.java
@@ -107,7 +107,15 @@
     ClientSender clients = new ClientSender(clientPort, settings.clientEndpoint().port(), segments);
     BalancerOutput output =
         new BalancerOutput(settings, sender, clients, balancers, keeper, catchUp);
-    return new FlowBalancer(policy, settings.zone(), output, metrics, MonotonicClock.nowMs());
+    FlowBalancer created =
+        new FlowBalancer(policy, settings.zone(), output, metrics, MonotonicClock.nowMs());
+    created.setOrderPeriod(orderPeriod());
+    return created;
+  }
+
+  // The time of day, unlike the monotonic clock, gives all balancers the same period.
+  private long orderPeriod() {
+    return System.currentTimeMillis() / policy.overload().orderPeriodMs();
   }
 
   private BalancerBeacons createBeacons(AddressCache peerAddresses) {
@@ -137,6 +145,9 @@
         ForwardingGauge.CONFIGURATION_VERSION, () -> keeper.state().configuration().version());
     metrics.gauge(ForwardingGauge.STATE_AGE_MS, confirmation::metricAgeMs);
     metrics.gauge(ForwardingGauge.READY_TARGETS, () -> readyTargets(keeper.state()));
+    metrics.gauge(
+        ForwardingGauge.ADMISSION_LEVEL,
+        () -> balancer.lowestAdmissionLevel(MonotonicClock.nowMs()));
     metrics.gauge(ForwardingGauge.UNUSABLE_ITEMS, source::unusableItems);
     metrics.gauge(ForwardingGauge.ANSWERS_WITHOUT_ERA, source::responsesWithoutEra);
     metrics.gauge(ForwardingGauge.LINES_LEFT_OUT, log::droppedLines);
@@ -204,6 +215,7 @@
       long nowMs = MonotonicClock.nowMs();
       processorLag.recordRun(nowMs - tickEndedAtMs - MainLoop.TICK_MS);
       keeper.onTick(nowMs);
+      balancer.setOrderPeriod(orderPeriod());
       balancer.onTick(nowMs);
       if (beaconTimer.restartIfDue(BalancerBeacons.PERIOD_MS, nowMs)) {
         beacons.sendRegular(keeper.state(), nowMs);
--- a/forwarding/src/main/java/io/moorstage/forwarding/metrics/ForwardingCounter.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/metrics/ForwardingCounter.java
@@ -24,6 +24,8 @@
   SOURCE_OUTDATED("Responses of the source from an earlier era than that of this node's state."),
   SOURCE_MALFORMED("Responses of the source that were truncated, malformed or too large."),
   PEER_STATES("States taken over from another node, as they were newer than this node's state."),
+  OVERLOADED_OPENINGS(
+      "Balancer: new flows reset because their service is overloaded; part of reset-no-target."),
   TARGET_CHECKS("Agent: connections opened to check whether the target's process runs.");
 
   private final String meaning;
--- a/forwarding/src/main/java/io/moorstage/forwarding/metrics/ForwardingGauge.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/metrics/ForwardingGauge.java
@@ -13,6 +13,9 @@
   STATE_AGE_MS(
       "Balancer: milliseconds since the source last confirmed the state; -1 before the first time."),
   READY_TARGETS("Balancer: targets that are listed as ready for new flows."),
+  ADMISSION_LEVEL(
+      "Balancer: lowest admission level of all services: new flows of a higher rank are reset; 65535"
+          + " if all are admitted."),
   UNUSABLE_ITEMS("Items of the source skipped so far because they could not be read."),
   ANSWERS_WITHOUT_ERA("Responses of the source so far without a readable era."),
   LINES_LEFT_OUT("Log lines dropped so far due to the limits per second or a full queue.");
--- a/forwarding/src/main/java/io/moorstage/forwarding/metrics/ForwardingMetrics.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/metrics/ForwardingMetrics.java
@@ -67,6 +67,9 @@
   @Override
   public void decided(Decision decision, FlowId flow, int address, String reason, long ageMs) {
     decisions.incrementAndGet(decision.ordinal());
+    if (decision == Decision.RESET_NO_TARGET && reason.equals(DecisionLog.OVERLOADED)) {
+      count(ForwardingCounter.OVERLOADED_OPENINGS);
+    }
     log.decided(decision, flow, address, reason, ageMs);
   }
 
--- a/forwarding/src/test/java/io/moorstage/forwarding/metrics/ForwardingMetricsTest.java
+++ b/forwarding/src/test/java/io/moorstage/forwarding/metrics/ForwardingMetricsTest.java
@@ -39,6 +39,21 @@
         .contains("moorstage_forwarding_decisions_total{decision=\"placed\"} 2");
   }
 
+  /**
+   * Operators tell a service that is overloaded from one whose targets are gone by this counter.
+   */
+  @Test
+  void resetsOfOverloadedServicesAreCountedSeparately() {
+    ForwardingMetrics metrics = new ForwardingMetrics(DecisionLog.NONE);
+    metrics.decided(Decision.RESET_NO_TARGET, FLOW, 0, DecisionLog.OVERLOADED, 0);
+    metrics.decided(Decision.RESET_NO_TARGET, FLOW, 0, "no-target", 0);
+    metrics.decided(Decision.PLACED_AGAIN, FLOW, 0, DecisionLog.OVERLOADED, 0);
+
+    assertThat(lines(metrics)).contains("moorstage_forwarding_overloaded_openings_total 1");
+    assertThat(lines(metrics))
+        .contains("moorstage_forwarding_decisions_total{decision=\"reset-no-target\"} 2");
+  }
+
   @Test
   void countersAndGaugesAreExposed() {
     ForwardingMetrics metrics = new ForwardingMetrics(DecisionLog.NONE);
