Queue openings and requests at the agent under overload control

With overload control, openings went to targets without limit, and all requests waited up to 900 ms in one order, so that at twice the capacity nearly all answers were late. One queue at the agent now holds openings and requests until the target has a place, orders them by priority, share of origin zone and route, and client order, and gives back openings that cannot start early enough. Segments without scheduling terms are handled as before.

--- a/core/src/main/java/io/moorstage/core/agent/AgentFlow.java
+++ b/core/src/main/java/io/moorstage/core/agent/AgentFlow.java
@@ -30,6 +30,8 @@
     LOST
   }
 
+  private static final long NOT_ACCEPTED = -1;
+
   private final FlowId id;
   private final long openedAtMs;
 
@@ -50,6 +52,11 @@
 
   private long busySinceMs;
 
+  /** Whether the opening occupies a place at the target until its request arrives. */
+  private boolean expectsRequest;
+
+  private long acceptedAtMs = NOT_ACCEPTED;
+
   /** Segments of a request that is queued for the target, or null if none is. */
   @Nullable private List<byte[]> waitingSegments;
 
@@ -221,6 +228,32 @@
     busy = false;
   }
 
+  /** Returns whether the flow's opening was admitted and its request has not arrived yet. */
+  boolean expectsRequest() {
+    return expectsRequest;
+  }
+
+  void expectRequest() {
+    expectsRequest = true;
+  }
+
+  void stopExpectingRequest() {
+    expectsRequest = false;
+  }
+
+  /** Records when the target accepted the flow; returns false if it was recorded before. */
+  boolean markAccepted(long nowMs) {
+    if (acceptedAtMs != NOT_ACCEPTED) {
+      return false;
+    }
+    acceptedAtMs = nowMs;
+    return true;
+  }
+
+  long acceptedAtMs() {
+    return acceptedAtMs;
+  }
+
   boolean isWaiting() {
     return waitingSegments != null;
   }
--- a/core/src/main/java/io/moorstage/core/agent/AgentFlows.java
+++ b/core/src/main/java/io/moorstage/core/agent/AgentFlows.java
@@ -8,8 +8,8 @@
 import io.moorstage.core.settings.ForwardingPolicy;
 import io.moorstage.core.settings.RetentionSettings;
 import java.nio.ByteBuffer;
+import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import javax.annotation.Nullable;
@@ -41,7 +41,7 @@
     this.retention = policy.retention();
     this.startedAtMs = nowMs;
     this.openings = new PendingOpenings(policy.opening().responseTimeoutMs());
-    this.requests = new RequestQueue(policy, this::deliver);
+    this.requests = new RequestQueue(policy, unused -> target.meanResponseMs(), this::deliver);
   }
 
   /** Returns the requests of all flows. */
@@ -120,6 +120,7 @@
   /** Gives back an opening that the target has not responded to; a late response is dropped. */
   void giveBackOpening(AgentFlow flow, byte[] opening, GiveBackReason reason, long nowMs) {
     flow.withdraw();
+    requests.stopExpectingRequest(flow, nowMs);
     int balancerAddress = flow.balancerAddress();
     long ageMs = nowMs - flow.openedAtMs();
     log.decided(Decision.GAVE_BACK, flow.id(), balancerAddress, reason.name(), ageMs);
@@ -129,13 +130,18 @@
 
   /** Removes closed and idle flows whose retention period has expired. */
   void sweep(long nowMs) {
-    for (Iterator<AgentFlow> iterator = flows.values().iterator(); iterator.hasNext(); ) {
-      AgentFlow flow = iterator.next();
+    List<AgentFlow> expired = new ArrayList<>();
+    for (AgentFlow flow : flows.values()) {
       int retentionMs = flow.isClosed() ? retention.closedFlowMs() : retention.flowMs();
       if (nowMs - flow.lastUsedMs() > retentionMs) {
-        requests.drop(flow, nowMs);
-        iterator.remove();
+        expired.add(flow);
       }
     }
+    // A dropped request may start a waiting opening, which adds a flow to the table.
+    for (AgentFlow flow : expired) {
+      flows.remove(flow.id());
+      requests.drop(flow, nowMs);
+    }
+    requests.admissionQueue().sweep(nowMs);
   }
 }
--- a/core/src/main/java/io/moorstage/core/agent/AgentTarget.java
+++ b/core/src/main/java/io/moorstage/core/agent/AgentTarget.java
@@ -48,6 +48,11 @@
     return reportsOutliers && outliers.isEjected();
   }
 
+  /** Returns the mean time from a request to its response, in milliseconds; 0 if not known. */
+  double meanResponseMs() {
+    return liveness.meanResponseMs();
+  }
+
   /** Returns whether the target's process has ended and has shown no activity since. */
   boolean hasEnded() {
     return liveness.hasEnded();
--- a/core/src/main/java/io/moorstage/core/agent/ColdStartLimit.java
+++ b/core/src/main/java/io/moorstage/core/agent/ColdStartLimit.java
@@ -54,6 +54,17 @@
    * @param openingsPerS the new flows per second that a cold target can take; 0 for no limit
    */
   boolean tryAdmit(int openingsPerS, long nowMs) {
+    if (!mayAdmit(openingsPerS, nowMs)) {
+      return false;
+    }
+    if (openingsPerS > 0) {
+      openedAtMs.addLast(nowMs);
+    }
+    return true;
+  }
+
+  /** Returns whether the target may get a new flow now, without counting it. */
+  boolean mayAdmit(int openingsPerS, long nowMs) {
     if (openingsPerS <= 0) {
       return true;
     }
@@ -61,10 +72,6 @@
       openedAtMs.pollFirst();
     }
     boolean cold = nowMs - coldSinceMs <= durationMs;
-    if (cold && openedAtMs.size() >= openingsPerS) {
-      return false;
-    }
-    openedAtMs.addLast(nowMs);
-    return true;
+    return !cold || openedAtMs.size() < openingsPerS;
   }
 }
--- a/core/src/main/java/io/moorstage/core/agent/FlowAgent.java
+++ b/core/src/main/java/io/moorstage/core/agent/FlowAgent.java
@@ -22,6 +22,7 @@
   private final AgentFlows flows;
   private final ForwardedSegments forwardedSegments;
   private final TargetSegments targetSegments;
+  private long lastTickMs;
 
   /**
    * Creates an agent without any flows.
@@ -35,9 +36,11 @@
   public FlowAgent(
       ForwardingPolicy policy, String service, AgentActions actions, DecisionLog log, long nowMs) {
     this.actions = actions;
+    this.lastTickMs = nowMs;
     this.target = new AgentTarget(policy, service, log, nowMs);
     this.flows = new AgentFlows(policy, target, actions, log, nowMs);
-    this.forwardedSegments = new ForwardedSegments(service, target, flows, actions, log);
+    ForwardedOpenings openings = new ForwardedOpenings(target, flows, actions, log);
+    this.forwardedSegments = new ForwardedSegments(service, target, flows, openings, actions);
     this.targetSegments = new TargetSegments(target, flows, actions, log);
   }
 
@@ -53,6 +56,11 @@
       return false;
     }
     flows.requests().setCapacity(report.capacity());
+    GiveBackReason leavingReason = target.admission().leavingReason();
+    if (leavingReason != null) {
+      flows.requests().admissionQueue().giveBackOpenings(leavingReason, nowMs);
+    }
+    flows.requests().startWaiting(nowMs);
     return phaseBefore != report.phase() || evacuatedBefore != report.evacuated();
   }
 
@@ -72,6 +80,7 @@
     if (!target.onCheckResult(refused, nowMs)) {
       return;
     }
+    flows.requests().admissionQueue().giveBackOpenings(GiveBackReason.ENDED, nowMs);
     for (AgentFlow flow : flows.all()) {
       onTargetEnded(flow, nowMs);
     }
@@ -102,14 +111,27 @@
     return target.hasEnded();
   }
 
-  /** Returns the number of flows that have a request in progress or waiting. */
+  /**
+   * Returns the number of flows that have a request in progress or waiting, or an opening waiting.
+   */
   public synchronized int busyFlows() {
     return flows.requests().busyFlows();
   }
 
+  /** Returns the number of openings that wait for a place at the target. */
+  public synchronized int waitingOpenings() {
+    return flows.requests().waitingOpenings();
+  }
+
+  /** Returns the number of requests on open flows that wait for a place at the target. */
+  public synchronized int waitingRequests() {
+    return flows.requests().waitingRequests();
+  }
+
   /** Returns what the agent has measured of its target's capacity, and what it admits. */
   public synchronized CapacityReport capacityReport() {
-    return CapacityReport.UNKNOWN;
+    int admittedRank = flows.requests().admissionQueue().admittedRank(lastTickMs);
+    return new CapacityReport(0, 0, admittedRank);
   }
 
   /** Returns the number of flows that the agent has an entry for. */
@@ -160,10 +182,15 @@
 
   /** Handles expired timeouts and starts due checks; called every few tens of milliseconds. */
   public synchronized void onTick(long nowMs) {
+    lastTickMs = nowMs;
     flows.giveBackOverdueOpenings(nowMs);
     AgentFlow oldest = flows.requests().oldest();
     if (oldest != null) {
+      boolean ejectedBefore = target.isEjected();
       target.detectStall(oldest, nowMs);
+      if (!ejectedBefore && target.isEjected()) {
+        flows.requests().admissionQueue().giveBackOpenings(GiveBackReason.UNFIT, nowMs);
+      }
     }
     if (target.pollDueCheck(nowMs)) {
       actions.checkTarget();
--- a/core/src/main/java/io/moorstage/core/agent/ForwardedSegments.java
+++ b/core/src/main/java/io/moorstage/core/agent/ForwardedSegments.java
@@ -1,9 +1,6 @@
 package io.moorstage.core.agent;
 
-import io.moorstage.core.flow.Datagrams;
 import io.moorstage.core.flow.Segment;
-import io.moorstage.core.log.Decision;
-import io.moorstage.core.log.DecisionLog;
 import io.moorstage.core.message.ForwardTerms;
 import io.moorstage.core.message.GiveBackReason;
 import java.nio.ByteBuffer;
@@ -17,16 +14,20 @@
   private final String service;
   private final AgentTarget target;
   private final AgentFlows flows;
+  private final ForwardedOpenings openings;
   private final AgentActions actions;
-  private final DecisionLog log;
 
   ForwardedSegments(
-      String service, AgentTarget target, AgentFlows flows, AgentActions actions, DecisionLog log) {
+      String service,
+      AgentTarget target,
+      AgentFlows flows,
+      ForwardedOpenings openings,
+      AgentActions actions) {
     this.service = service;
     this.target = target;
     this.flows = flows;
+    this.openings = openings;
     this.actions = actions;
-    this.log = log;
   }
 
   /**
@@ -37,9 +38,10 @@
   void onForwarded(
       int balancerAddress, ForwardTerms terms, Segment segment, ByteBuffer datagram, long nowMs) {
     if (segment.kind() == Segment.Kind.OPEN) {
-      onOpening(balancerAddress, terms, segment, datagram, nowMs);
+      openings.onOpening(balancerAddress, terms, segment, datagram, nowMs);
       return;
     }
+    openings.discardWaiting(segment.flow());
     AgentFlow flow = findOrOffer(balancerAddress, terms, segment, nowMs);
     if (flow == null) {
       flows.giveBack(balancerAddress, GiveBackReason.NOT_HELD, segment, datagram);
@@ -49,9 +51,7 @@
     flow.setAcknowledged(segment.acknowledged());
     if (target.hasEnded()) {
       resetOrGiveBack(flow, segment, datagram, nowMs);
-    } else if (!flows
-        .requests()
-        .enqueueIfRequired(flow, terms.timeoutMs(), segment, datagram, nowMs)) {
+    } else if (!flows.requests().enqueueIfRequired(flow, terms, segment, datagram, nowMs)) {
       deliver(flow, segment, datagram, nowMs);
     }
   }
@@ -98,32 +98,14 @@
     }
   }
 
-  private void onOpening(
-      int balancerAddress, ForwardTerms terms, Segment segment, ByteBuffer datagram, long nowMs) {
-    GiveBackReason reason = target.admission().rejectionReason(terms, nowMs);
-    if (reason != null) {
-      flows.giveBack(balancerAddress, reason, segment, datagram);
-      return;
-    }
-    AgentFlow flow = flows.get(segment.flow());
-    if (flow == null || !flow.isAcceptedOrOpen()) {
-      if (flow != null) {
-        flows.remove(flow, nowMs);
-      }
-      flow = AgentFlow.opening(segment, Datagrams.copyOf(datagram), balancerAddress, nowMs);
-      flows.addOpening(flow);
-    }
-    flow.onForwarded(balancerAddress, nowMs);
-    log.decided(Decision.DELIVERED, flow.id(), balancerAddress, "open", -1);
-    flows.deliver(datagram, nowMs);
-  }
-
   private void recordClientEnd(AgentFlow flow, Segment segment, long nowMs) {
     if (segment.kind() == Segment.Kind.CLOSE) {
       flow.markClosed();
+      flows.requests().stopExpectingRequest(flow, nowMs);
     } else if (segment.kind() == Segment.Kind.RESET) {
       flow.markClosed();
       flows.requests().end(flow, nowMs);
+      flows.requests().stopExpectingRequest(flow, nowMs);
     }
   }
 }
--- a/core/src/main/java/io/moorstage/core/agent/OpeningAdmission.java
+++ b/core/src/main/java/io/moorstage/core/agent/OpeningAdmission.java
@@ -116,6 +116,42 @@
     return coldLimit.tryAdmit(terms.coldOpeningsPerS(), nowMs) ? null : GiveBackReason.COLD;
   }
 
+  /**
+   * Returns the reason to reject at once an opening that would have to wait, or null if it may
+   * wait. Nothing is counted: {@link #rejectionReason} decides when the opening is delivered. A
+   * target that is ejected gets its probe only while it has a free place.
+   */
+  @Nullable
+  GiveBackReason rejectionReasonIfQueued(ForwardTerms terms, long nowMs) {
+    if (liveness.hasEnded()) {
+      return GiveBackReason.ENDED;
+    }
+    if (rejectsOutliers && !terms.overridesEjection() && outliers.isEjected()) {
+      return GiveBackReason.UNFIT;
+    }
+    if (!terms.service().equals(service)) {
+      return GiveBackReason.OTHER_SERVICE;
+    }
+    if (terms.configurationVersion() < configurationVersion) {
+      return GiveBackReason.OLD_CONFIGURATION;
+    }
+    configurationVersion = terms.configurationVersion();
+    GiveBackReason leaving = leavingReason();
+    if (leaving != null) {
+      return leaving;
+    }
+    return coldLimit.mayAdmit(terms.coldOpeningsPerS(), nowMs) ? null : GiveBackReason.COLD;
+  }
+
+  /** Returns why the target gets no new flows from now on, as last reported; null if it does. */
+  @Nullable
+  GiveBackReason leavingReason() {
+    if (phase != TargetPhase.READY) {
+      return GiveBackReason.LEAVING;
+    }
+    return evacuated ? GiveBackReason.EVACUATED : null;
+  }
+
   // If most targets of a service are ejected, the cause may be outside the targets; the balancer
   // then overrides the ejection.
   private boolean isRejectedAsOutlier(ForwardTerms terms, long nowMs) {
--- a/core/src/main/java/io/moorstage/core/agent/RequestQueue.java
+++ b/core/src/main/java/io/moorstage/core/agent/RequestQueue.java
@@ -2,13 +2,17 @@
 
 import io.moorstage.core.flow.Datagrams;
 import io.moorstage.core.flow.Segment;
+import io.moorstage.core.message.ForwardTerms;
+import io.moorstage.core.message.GiveBackReason;
 import io.moorstage.core.settings.ForwardingPolicy;
 import io.moorstage.core.settings.Mechanism;
 import java.nio.ByteBuffer;
 import java.util.List;
+import java.util.function.LongToDoubleFunction;
 
 /**
- * Tracks the requests of an agent's flows: those in progress at the target, and those that wait in
+ * Tracks the requests of an agent's flows: those in progress at the target, and those that wait.
+ * With overload control they wait in {@link AdmissionQueue} together with openings, otherwise in
  * the order of {@link RequestGate}. Guarded by the lock of {@link FlowAgent}.
  */
 final class RequestQueue {
@@ -33,6 +37,8 @@
   private final double minTimeoutMs;
   private final int staleAfterMs;
   private final RequestGate gate;
+  private final boolean overloadControl;
+  private final AdmissionQueue admissionQueue;
   private final Delivery delivery;
   private int waitingFlows;
 
@@ -42,22 +48,76 @@
     void deliver(ByteBuffer datagram, long nowMs);
   }
 
-  RequestQueue(ForwardingPolicy policy, Delivery delivery) {
+  /**
+   * Creates a queue without requests.
+   *
+   * @param serviceMs the mean time that the target works on a request, at a time in milliseconds; 0
+   *     if not known
+   */
+  RequestQueue(ForwardingPolicy policy, LongToDoubleFunction serviceMs, Delivery delivery) {
     this.queueingEnabled = policy.uses(Mechanism.GATE);
     this.minTimeoutMs = MIN_TIMEOUT_TO_WAIT_RATIO * policy.requests().maxWaitMs();
     this.staleAfterMs = policy.requests().staleAfterMs();
     this.gate = new RequestGate(policy, 0);
+    this.overloadControl = policy.overload().enabled();
+    this.admissionQueue = new AdmissionQueue(serviceMs, gate::inProgress);
     this.delivery = delivery;
   }
 
   /** Sets the number of requests that the target works on at a time; 0 if not known. */
   void setCapacity(int capacity) {
     gate.setCapacity(capacity);
+    admissionQueue.setCapacity(capacity);
+  }
+
+  /** Returns the queue that is used with overload control. */
+  AdmissionQueue admissionQueue() {
+    return admissionQueue;
   }
 
-  /** Returns the number of flows that have a request in progress or waiting. */
+  /** Returns whether segments with these terms are scheduled by the queue of overload control. */
+  boolean isScheduled(ForwardTerms terms) {
+    return overloadControl && terms.scheduling() != null;
+  }
+
+  /**
+   * Returns the number of flows that have a request in progress or waiting, or an opening waiting.
+   */
   int busyFlows() {
-    return gate.inProgress() + waitingFlows;
+    return gate.inProgress() + waitingFlows + waitingOpenings();
+  }
+
+  int waitingOpenings() {
+    return admissionQueue.waitingOpenings();
+  }
+
+  int waitingRequests() {
+    return waitingFlows;
+  }
+
+  /** Counts a flow whose opening is being delivered as admitted until its request arrives. */
+  void expectRequest(AgentFlow flow) {
+    if (overloadControl) {
+      admissionQueue.expected().add(flow);
+    }
+  }
+
+  /** Records that the target has accepted a flow, whose request has to follow. */
+  void onAccepted(AgentFlow flow, long nowMs) {
+    admissionQueue.expected().onAccepted(flow, nowMs);
+  }
+
+  /** Releases the place of a flow whose request is no longer expected. */
+  void stopExpectingRequest(AgentFlow flow, long nowMs) {
+    if (flow.expectsRequest()) {
+      admissionQueue.expected().remove(flow);
+      admissionQueue.startWaiting(nowMs);
+    }
+  }
+
+  /** Starts waiting openings and requests, as far as the target has places for them. */
+  void startWaiting(long nowMs) {
+    admissionQueue.startWaiting(nowMs);
   }
 
   /** Returns the flow whose request has been in progress longest, or null if there is none. */
@@ -68,29 +128,44 @@
   /**
    * Queues a client's segment if the request that it belongs to has to wait.
    *
-   * @param timeoutMs how long a request of the flow's route may take, in milliseconds
+   * @param terms the terms with which the balancer forwarded the segment
    * @return whether the segment must not be delivered now: it was queued, or dropped as a duplicate
    *     of a queued one or beyond the {@link #MAX_WAITING_SEGMENTS}
    */
   boolean enqueueIfRequired(
-      AgentFlow flow, int timeoutMs, Segment segment, ByteBuffer datagram, long nowMs) {
+      AgentFlow flow, ForwardTerms terms, Segment segment, ByteBuffer datagram, long nowMs) {
     if (flow.isWaiting()) {
       return addToWaitingRequest(flow, segment, datagram, nowMs);
     }
     boolean startsRequest = segment.dataBytes() > 0 && !flow.isBusy() && !flow.isClosed();
-    boolean hasTime = timeoutMs >= minTimeoutMs;
-    if (!startsRequest || !hasTime || gate.isOpen() || !queueingEnabled) {
+    if (!startsRequest) {
       return false;
     }
-    if (!flow.recordClientData(segment)) {
+    boolean isScheduled = isScheduled(terms);
+    boolean mayStart = isScheduled ? mayStart(flow, nowMs) : isGateOpenFor(terms.timeoutMs());
+    if (mayStart || !flow.recordClientData(segment)) {
       return false;
     }
     flow.beginWaiting(Datagrams.copyOf(datagram), nowMs);
     waitingFlows++;
-    gate.add(flow, isKnownToBeNew(flow, nowMs));
+    if (isScheduled) {
+      admissionQueue.addRequest(
+          flow.id(), new WaitingRequest(flow), terms.scheduling(), terms.timeoutMs(), nowMs);
+    } else {
+      gate.add(flow, isKnownToBeNew(flow, nowMs));
+    }
     return true;
   }
 
+  // The first request of a flow starts in the place that its opening occupies.
+  private boolean mayStart(AgentFlow flow, long nowMs) {
+    return admissionQueue.hasPlaceAfterOthers(nowMs) || flow.expectsRequest();
+  }
+
+  private boolean isGateOpenFor(int timeoutMs) {
+    return timeoutMs < minTimeoutMs || gate.isOpen() || !queueingEnabled;
+  }
+
   private boolean addToWaitingRequest(
       AgentFlow flow, Segment segment, ByteBuffer datagram, long nowMs) {
     if (segment.kind() == Segment.Kind.RESET) {
@@ -127,12 +202,14 @@
     if (flow.isWaiting()) {
       flow.takeWaitingSegments();
       waitingFlows--;
+      admissionQueue.removeRequest(flow.id());
     }
   }
 
   /** Counts a flow's request as in progress at the target. */
   void begin(AgentFlow flow, long nowMs) {
     if (!flow.isBusy()) {
+      admissionQueue.expected().remove(flow);
       flow.beginRequest(nowMs);
       gate.addInProgress(flow);
     }
@@ -148,6 +225,7 @@
     }
     flow.endRequest();
     gate.removeInProgress();
+    admissionQueue.startWaiting(nowMs);
     for (AgentFlow next = gate.pollNext(nowMs); next != null; next = gate.pollNext(nowMs)) {
       release(next, nowMs);
     }
@@ -157,6 +235,7 @@
   void drop(AgentFlow flow, long nowMs) {
     cancelWaiting(flow);
     end(flow, nowMs);
+    stopExpectingRequest(flow, nowMs);
   }
 
   private void release(AgentFlow flow, long nowMs) {
@@ -165,6 +244,7 @@
     }
     List<byte[]> segments = flow.takeWaitingSegments();
     waitingFlows--;
+    admissionQueue.removeRequest(flow.id());
     if (!flow.isClosed()) {
       begin(flow, nowMs);
     }
@@ -183,5 +263,25 @@
     for (AgentFlow flow = gate.pollOverdue(nowMs); flow != null; flow = gate.pollOverdue(nowMs)) {
       release(flow, nowMs);
     }
+    admissionQueue.startWaiting(nowMs);
+  }
+
+  /** A request on an open flow that waits; it is never given back. */
+  private final class WaitingRequest implements AdmissionQueue.Waiter {
+    private final AgentFlow flow;
+
+    WaitingRequest(AgentFlow flow) {
+      this.flow = flow;
+    }
+
+    @Override
+    public void start(long nowMs) {
+      release(flow, nowMs);
+    }
+
+    @Override
+    public void giveBack(GiveBackReason reason, long nowMs) {
+      throw new IllegalStateException("requests on open flows are never given back");
+    }
   }
 }
--- a/core/src/main/java/io/moorstage/core/agent/TargetSegments.java
+++ b/core/src/main/java/io/moorstage/core/agent/TargetSegments.java
@@ -47,6 +47,7 @@
       return;
     }
     flow.onTargetSegment(segment, nowMs);
+    flows.requests().onAccepted(flow, nowMs);
     actions.sendToClient(segment.flow(), datagram);
     if (segment.dataBytes() > 0) {
       if (flow.isBusy()) {
@@ -70,6 +71,7 @@
     }
     flow.markClosed();
     flows.requests().end(flow, nowMs);
+    flows.requests().stopExpectingRequest(flow, nowMs);
   }
 
   // Handles a segment that the target can't take, or that belongs to a flow it does not hold.
--- a/core/src/main/java/io/moorstage/core/log/Decision.java
+++ b/core/src/main/java/io/moorstage/core/log/Decision.java
@@ -32,6 +32,8 @@
   HELD_FOR_CONFIGURATION,
   /** An agent delivered an opening segment to its target. */
   DELIVERED,
+  /** An agent queued an opening segment, since its target is at its limit. */
+  QUEUED,
   /** An agent rejected a segment and gave it back to the balancer. */
   GAVE_BACK,
   /** An agent ejected its target from new flows, since requests were broken off or stalled. */
@@ -51,6 +53,10 @@
    * budget of their own, so that lines of normal operation don't displace them.
    */
   public boolean isAbnormal() {
-    return this != PLACED && this != REPEATED && this != DELIVERED && this != LOCATED;
+    return this != PLACED
+        && this != REPEATED
+        && this != DELIVERED
+        && this != QUEUED
+        && this != LOCATED;
   }
 }
--- a/forwarding/src/main/java/io/moorstage/forwarding/daemon/AgentDaemon.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/daemon/AgentDaemon.java
@@ -95,6 +95,9 @@
   private void registerGauges(StateSource source) {
     metrics.gauge(ForwardingGauge.FLOWS, agent::flowCount);
     metrics.gauge(ForwardingGauge.REQUESTS, agent::busyFlows);
+    metrics.gauge(ForwardingGauge.WAITING_OPENINGS, agent::waitingOpenings);
+    metrics.gauge(ForwardingGauge.WAITING_REQUESTS, agent::waitingRequests);
+    metrics.gauge(ForwardingGauge.ADMITTED_RANK, () -> agent.capacityReport().admittedRank());
     metrics.gauge(ForwardingGauge.BALANCERS, () -> balancers.liveCount(MonotonicClock.nowMs()));
     metrics.gauge(ForwardingGauge.STATE_REVISION, () -> Revision.count(copy.revision()));
     metrics.gauge(ForwardingGauge.STATE_ERA, () -> Revision.era(copy.revision()));
--- a/forwarding/src/main/java/io/moorstage/forwarding/metrics/ForwardingGauge.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/metrics/ForwardingGauge.java
@@ -6,6 +6,9 @@
 public enum ForwardingGauge {
   FLOWS("Flows in this node's flow table."),
   REQUESTS("Agent: flows with a request in progress or waiting."),
+  WAITING_OPENINGS("Agent: openings that wait for a place at the target."),
+  WAITING_REQUESTS("Agent: requests on open flows that wait for a place at the target."),
+  ADMITTED_RANK("Agent: highest rank at which an opening is admitted now; 65535 if each is."),
   BALANCERS("Balancers whose latest beacon is at most 3 s old."),
   STATE_REVISION("Revision of the source up to which this node has all changes."),
   STATE_ERA("Era of that revision: how often the source had been restored from an older copy."),
