State from which number of agents on the admission level has no effect

The comment on the validity of an admitted rank assumed reports every 100 ms, but the interval that balancers request grows with the number of their agents.

--- a/core/src/main/java/io/moorstage/core/placement/TargetSlot.java
+++ b/core/src/main/java/io/moorstage/core/placement/TargetSlot.java
@@ -25,8 +25,9 @@
   private static final double AVERAGING_MS = 2_000;
 
   /**
-   * Four missing reports of a loaded agent, which reports every 100 ms. An agent that has stopped
-   * must not keep openings rejected for longer.
+   * An agent that has stopped must not keep openings rejected for longer. The value covers four
+   * missing reports at an interval of 100 ms, but none at 500 ms, the interval that a balancer
+   * requests of 50 agents.
    */
   private static final int ADMITTED_RANK_VALID_MS = 500;
 
