Keep the services of an older configuration whichever copy arrives first

Cause: ForwardingConfiguration.merge dropped an older copy together with the services that only it has. Change: the newer configuration keeps them at weight 0 in both orders.

--- a/core/src/main/java/io/moorstage/core/state/ForwardingConfiguration.java
+++ b/core/src/main/java/io/moorstage/core/state/ForwardingConfiguration.java
@@ -50,11 +50,12 @@
    * Returns the newer of this configuration and another one, whose routes also keep the services
    * that they have in the older one, at weight 0. Two copies of one version differ only in such
    * former services.
+   *
+   * <p>The result does not depend on which of the two arrives first. A node that has just started
+   * may read the newer one from the source before it gets a peer's older copy, and flows may have
+   * been opened at services that only the older copy has.
    */
   ForwardingConfiguration merge(ForwardingConfiguration other) {
-    if (other.version < version) {
-      return this;
-    }
     return other.version > version
         ? other.withFormerServices(this)
         : this.withFormerServices(other);
--- a/core/src/test/java/io/moorstage/core/balancer/FlowLocatorRouteTest.java
+++ b/core/src/test/java/io/moorstage/core/balancer/FlowLocatorRouteTest.java
@@ -226,6 +226,22 @@
     assertThat(actions.reset).isEmpty();
   }
 
+  // Guards against resets with reason held-by-none, which a soak has shown: the peer's older copy
+  // arrived a few milliseconds after the first read of the source, and was dropped.
+  @Test
+  void balancerThatReadsTheSourceBeforeAPeersOlderCopyOffersToTheFormerService() {
+    applyRouteTo(1, FORMER);
+    FleetState olderCopyOfPeer = state;
+    startBalancer(FleetState.EMPTY);
+    applyRouteTo(2, SERVICE);
+    state = state.merge(olderCopyOfPeer);
+    balancer.onState(state, nowMs);
+    sendClientData();
+    runSearch(FLOW, HOLDER);
+    assertThat(actions.lastForwardedTo()).isEqualTo(HOLDER);
+    assertThat(actions.reset).isEmpty();
+  }
+
   @Test
   void flowIsNotResetWhileAnAgentOfAnotherServiceHasNotResponded() {
     applyRouteTo(2, SERVICE);
--- a/forwarding/src/test/java/io/moorstage/forwarding/state/StateKeeperTest.java
+++ b/forwarding/src/test/java/io/moorstage/forwarding/state/StateKeeperTest.java
@@ -139,6 +139,41 @@
     assertThat(servicesIn(keeper.state())).containsExactly(current);
   }
 
+  // Guards against a former service that never expires: each complete state of a peer that still
+  // has it, or of a source that was restored to an older version, would start its retention again.
+  @Test
+  void formerServiceThatHasExpiredIsNotTakenAgainFromAnotherCopy() {
+    StateKeeper keeper = new StateKeeper(GONE_TARGET_RETENTION_MS, (before, after, nowMs) -> {});
+    FleetState older = stateWithRoute(1, "a");
+    FleetState copyOfPeer = older.replaceBy(stateWithRoute(2, "b"));
+    keeper.replaceBy(copyOfPeer, 0);
+    long expiredAtMs = GONE_TARGET_RETENTION_MS + 1;
+    keeper.replaceBy(stateWithRoute(2, "b"), expiredAtMs);
+    WeightedService current = new WeightedService("b", 1);
+    assertThat(servicesIn(keeper.state())).containsExactly(current);
+
+    keeper.replaceBy(copyOfPeer, expiredAtMs + 1);
+    assertThat(servicesIn(keeper.state())).containsExactly(current);
+    keeper.replaceBy(older, expiredAtMs + 2);
+    assertThat(servicesIn(keeper.state())).containsExactly(current);
+  }
+
+  // Guards against the loss of a service that got flows again after it had expired: this node may
+  // have missed the version in which the service had weight.
+  @Test
+  void formerServiceThatHasExpiredIsTakenAgainUnderALaterVersion() {
+    StateKeeper keeper = new StateKeeper(GONE_TARGET_RETENTION_MS, (before, after, nowMs) -> {});
+    keeper.replaceBy(stateWithRoute(1, "a"), 0);
+    keeper.replaceBy(stateWithRoute(2, "b"), 0);
+    long expiredAtMs = GONE_TARGET_RETENTION_MS + 1;
+    keeper.replaceBy(stateWithRoute(2, "b"), expiredAtMs);
+
+    keeper.replaceBy(stateWithRoute(4, "b"), expiredAtMs + 1);
+    keeper.replaceBy(stateWithRoute(3, "a"), expiredAtMs + 2);
+    assertThat(servicesIn(keeper.state()))
+        .containsExactly(new WeightedService("b", 1), new WeightedService("a", 0));
+  }
+
   @Test
   void retentionPeriodOfAServiceStartsAgainWhenARouteLosesItAgain() {
     StateKeeper keeper = new StateKeeper(GONE_TARGET_RETENTION_MS, (before, after, nowMs) -> {});
