Take the former services of routes from a peer that is not ahead

Cause: a balancer dropped a peer's state that was not newer than its own, and fetched none if it had read the source before it heard of a peer. In both cases it did not know the former services of routes, which the source does not hold, and could reset their open flows. Change: the configuration of each such state is merged, and after its start a balancer fetches the complete state of one peer, whether or not that is ahead: one transfer for each start.

--- a/core/src/main/java/io/moorstage/core/state/FleetState.java
+++ b/core/src/main/java/io/moorstage/core/state/FleetState.java
@@ -251,6 +251,11 @@
         evacuations.apply(isNewer ? reported.since(revision).all() : reported.all()));
   }
 
+  /** Returns this state with its configuration merged with another copy of any version. */
+  public FleetState merge(ForwardingConfiguration copy) {
+    return with(configuration.merge(copy));
+  }
+
   /** Returns this state with another configuration. */
   public FleetState with(ForwardingConfiguration copy) {
     return new FleetState(revision, copy, targets, evacuations);
--- a/forwarding/src/main/java/io/moorstage/forwarding/daemon/PeerCatchUp.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/daemon/PeerCatchUp.java
@@ -20,6 +20,10 @@
 /**
  * Fetches the state of a peer that has a newer one than this balancer. {@link StateLag} decides
  * when and from which peer. Thread-safe.
+ *
+ * <p>The source does not know the former services of routes, at whose targets flows may still be
+ * open. So after its start this balancer also fetches the complete state of one peer that is not
+ * ahead, if the source was faster, and takes the former services from it.
  */
 final class PeerCatchUp implements PeerStateFetcher.StateHandler {
   private final String zone;
@@ -30,6 +34,9 @@
   private final PeerStateFetcher fetcher;
   private final StateLag lag = new StateLag();
 
+  /** Whether the complete state of a peer has been received since the start. */
+  private volatile boolean hasPeerState;
+
   PeerCatchUp(
       ForwardingSettings settings,
       StateKeeper keeper,
@@ -54,6 +61,9 @@
   void onAdvertised(int peer, String peerZone, long revision, long nowMs) {
     boolean isSameZone = peerZone.equals(zone);
     lag.recordPeerRevision(peer, isSameZone, revision, keeper.state().revision(), nowMs);
+    if (!hasPeerState && revision > 0 && !fetcher.isBusy()) {
+      fetcher.fetch(peer);
+    }
     fetchIfBehind(nowMs);
   }
 
@@ -78,6 +88,9 @@
   }
 
   private PeerStateQuery ownStateQuery() {
+    if (!hasPeerState) {
+      return PeerStateQuery.COMPLETE_STATE;
+    }
     FleetState state = keeper.state();
     return new PeerStateQuery(state.revision(), state.configuration().version());
   }
@@ -87,8 +100,12 @@
       throws StateSourceException {
     FleetStateCodec.PeerState response = FleetStateCodec.decode(encoded);
     FleetState peerState = response.state();
+    if (response.complete()) {
+      hasPeerState = true;
+    }
     long ownRevision = keeper.state().revision();
     if (peerState.revision() <= ownRevision) {
+      keeper.merge(peerState.configuration(), MonotonicClock.nowMs());
       return;
     }
     log.event(
--- a/forwarding/src/main/java/io/moorstage/forwarding/state/StateKeeper.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/state/StateKeeper.java
@@ -1,6 +1,7 @@
 package io.moorstage.forwarding.state;
 
 import io.moorstage.core.state.FleetState;
+import io.moorstage.core.state.ForwardingConfiguration;
 import io.moorstage.core.state.Revision;
 import io.moorstage.core.state.StateChanges;
 import io.moorstage.core.state.TargetRecord;
@@ -123,6 +124,14 @@
         nowMs);
   }
 
+  /**
+   * Merges a peer's copy of the configuration, which may have former services of routes that this
+   * node does not know, also if it is of the same version or an older one.
+   */
+  public void merge(ForwardingConfiguration copy, long nowMs) {
+    update(current -> current.merge(copy), nowMs);
+  }
+
   private synchronized void update(UnaryOperator<FleetState> transition, long nowMs) {
     FleetState before = state;
     state = formerServices.removeExpired(evictGone(transition.apply(before), nowMs), nowMs);
