Do not reset a flow whose opening waited while a retransmission was placed

Cause: an opening that waits for a target stayed in WaitingOpenings when the client's retransmission was placed, or when the flow was found at a target that had accepted it through another balancer. The end of its wait of 400 ms then reset the open flow. Change: the placement removes the flow's waiting openings, and the end of a wait resets only a flow that is not in the table.

--- a/core/src/main/java/io/moorstage/core/balancer/FlowOpener.java
+++ b/core/src/main/java/io/moorstage/core/balancer/FlowOpener.java
@@ -71,11 +71,13 @@
 
   /**
    * Removes the expired waiting openings: resets those that waited for a target, and drops those
-   * that waited for a configuration.
+   * that waited for a configuration. A flow that is in the table since its opening waits is not
+   * reset, as it was found at a target that had accepted it through another balancer, or is
+   * searched for.
    */
   void onTick(long nowMs) {
     for (WaitingOpenings.Opening opening : waiting.removeExpired(nowMs)) {
-      if (opening.waitsForTarget()) {
+      if (opening.waitsForTarget() && tables.flow(opening.segment().flow()) == null) {
         resetOpening(opening.segment(), "no-target-came", nowMs);
       }
     }
@@ -151,6 +153,7 @@
     }
     Decision decision = flow.tried().isEmpty() ? Decision.PLACED : Decision.PLACED_AGAIN;
     log.decided(decision, flow.id(), chosen.address(), reason, tables.ageOfState(nowMs));
+    waiting.remove(flow.id());
     flow.openAt(chosen, pool.mostAreEjected(nowMs), nowMs);
     tables.send(flow, chosen, datagram);
   }
--- a/core/src/main/java/io/moorstage/core/balancer/WaitingOpenings.java
+++ b/core/src/main/java/io/moorstage/core/balancer/WaitingOpenings.java
@@ -86,6 +86,11 @@
     }
   }
 
+  /** Removes the openings of a flow, which has been placed at a target. */
+  void remove(FlowId flow) {
+    openings.removeIf(opening -> opening.segment().flow().equals(flow));
+  }
+
   /** Removes and returns all waiting openings. */
   List<Opening> removeAll() {
     List<Opening> removed = new ArrayList<>(openings);
