Do not shorten a suspicion by a failed opening

Cause: TargetSlot.recordFailedOpening set the end of the suspicion even if it was later already. Failed before: TargetSlotSuspicionTest.failedOpeningDoesNotShortenALongerSuspicion.

--- a/core/src/main/java/io/moorstage/core/placement/TargetSlot.java
+++ b/core/src/main/java/io/moorstage/core/placement/TargetSlot.java
@@ -198,7 +198,7 @@
   public void recordFailedOpening(int suspicionMs, long nowMs) {
     int doublings = Math.min(failedOpenings, MAX_SUSPICION_DOUBLINGS);
     failedOpenings++;
-    suspectUntilMs = nowMs + ((long) suspicionMs << doublings);
+    suspectUntilMs = Math.max(suspectUntilMs, nowMs + ((long) suspicionMs << doublings));
   }
 
   /** Makes the target suspect for at least a time, without counting a failed opening. */
