Release requests to added capacity, and give an opening back once

Causes, all read from the code: a higher capacity released no waiting request before the next end of a request or 0.9 s; an opening that was given back as SILENT and returned late was given back again as FULL, so that the balancer could reset a flow that another target may still accept; a ready report against a draining phase that is kept counted as a change. Change: setCapacity releases waiting requests; a returned opening of a withdrawn flow is logged and dropped; onTargetReport compares the phase that the agent keeps. Failed before: FlowAgentTest.requestsWaitNoLongerThanUntilAHigherCapacityIsReported and openingThatWasGivenBackAndIsReturnedLateIsNotGivenBackAgain, FlowAgentTargetTest.reportThatDoesNotEndADrainIsNoChangeOfThePhase.

--- a/core/src/main/java/io/moorstage/core/agent/FlowAgent.java
+++ b/core/src/main/java/io/moorstage/core/agent/FlowAgent.java
@@ -52,8 +52,9 @@
     if (!target.update(report, nowMs)) {
       return false;
     }
-    flows.requests().setCapacity(report.capacity());
-    return phaseBefore != report.phase() || evacuatedBefore != report.evacuated();
+    flows.requests().setCapacity(report.capacity(), nowMs);
+    // A draining phase is kept against a ready report of the same start.
+    return phaseBefore != target.admission().phase() || evacuatedBefore != report.evacuated();
   }
 
   /**
--- a/core/src/main/java/io/moorstage/core/agent/RequestQueue.java
+++ b/core/src/main/java/io/moorstage/core/agent/RequestQueue.java
@@ -50,9 +50,13 @@
     this.delivery = delivery;
   }
 
-  /** Sets the number of requests that the target works on at a time; 0 if not known. */
-  void setCapacity(int capacity) {
+  /**
+   * Sets the number of requests that the target works on at a time, 0 if not known, and releases
+   * waiting requests to the places that become free.
+   */
+  void setCapacity(int capacity, long nowMs) {
     gate.setCapacity(capacity);
+    releaseNext(nowMs);
   }
 
   /** Returns the number of flows that have a request in progress or waiting. */
@@ -148,6 +152,10 @@
     }
     flow.endRequest();
     gate.removeInProgress();
+    releaseNext(nowMs);
+  }
+
+  private void releaseNext(long nowMs) {
     for (AgentFlow next = gate.pollNext(nowMs); next != null; next = gate.pollNext(nowMs)) {
       release(next, nowMs);
     }
--- a/core/src/main/java/io/moorstage/core/agent/TargetSegments.java
+++ b/core/src/main/java/io/moorstage/core/agent/TargetSegments.java
@@ -79,7 +79,14 @@
       log.decided(Decision.RETURNED, segment.flow(), 0, "flow-unknown", -1);
       return;
     }
-    if (segment.kind() == Segment.Kind.OPEN) {
+    boolean isOpening = segment.kind() == Segment.Kind.OPEN;
+    if (isOpening && flow.stage() == AgentFlow.Stage.WITHDRAWN) {
+      // Given back before. The balancer counts the openings that were not given back, and resets
+      // the flow when none is left.
+      log.decided(Decision.RETURNED, segment.flow(), 0, "given-back-before", -1);
+      return;
+    }
+    if (isOpening) {
       flows.remove(flow, nowMs);
       flows.giveBack(flow.balancerAddress(), GiveBackReason.FULL, segment, datagram);
       return;
--- a/core/src/test/java/io/moorstage/core/agent/FlowAgentTargetTest.java
+++ b/core/src/test/java/io/moorstage/core/agent/FlowAgentTargetTest.java
@@ -319,4 +319,16 @@
     reportTarget(TargetPhase.READY, false, 1);
     assertThat(countAdmitted(50)).isEqualTo(50);
   }
+
+  // Guards against repeated target-phase lines while the target drains: the report of a balancer
+  // that had read a restored source counted as a change though the draining phase was kept.
+  @Test
+  void reportThatDoesNotEndADrainIsNoChangeOfThePhase() {
+    assertThat(agent.onTargetReport(report(TargetPhase.DRAINING, Revision.of(1, 18), 5), nowMs))
+        .isTrue();
+    assertThat(agent.onTargetReport(report(TargetPhase.READY, Revision.of(2, 3), 5), nowMs))
+        .isFalse();
+    assertThat(agent.onTargetReport(report(TargetPhase.READY, Revision.of(2, 4), 6), nowMs))
+        .isTrue();
+  }
 }
--- a/core/src/test/java/io/moorstage/core/agent/FlowAgentTest.java
+++ b/core/src/test/java/io/moorstage/core/agent/FlowAgentTest.java
@@ -315,4 +315,33 @@
     receiveFromTarget(Fleet.data(Fleet.flow(3), 2, 100));
     assertThat(agent.onQuery(Fleet.flow(1), nowMs)).isEqualTo(FlowQueryResult.UNKNOWN);
   }
+
+  // Guards against requests that wait for up to 0.9 s beside free places of the target.
+  @Test
+  void requestsWaitNoLongerThanUntilAHigherCapacityIsReported() {
+    fillTarget();
+    Segment first = Fleet.data(Fleet.flow(60), 101, 10);
+    Segment second = Fleet.data(Fleet.flow(61), 101, 10);
+    forward(first);
+    forward(second);
+    assertThat(actions.delivered).isEmpty();
+    agent.onTargetReport(
+        new TargetReport(2, TargetPhase.READY, false, CAPACITY + 1, 5, false, 0, 0), nowMs);
+    assertThat(actions.delivered).containsExactly(first.toString());
+    agent.onTargetReport(new TargetReport(3, TargetPhase.READY, false, 0, 5, false, 0, 0), nowMs);
+    assertThat(actions.delivered).containsExactly(first.toString(), second.toString()).inOrder();
+  }
+
+  // Guards against the reset of a flow that another target may accept: the balancer counts the
+  // openings that were not given back, and counted this one twice.
+  @Test
+  void openingThatWasGivenBackAndIsReturnedLateIsNotGivenBackAgain() {
+    Segment open = Fleet.open(Fleet.flow(1), 0);
+    forward(open);
+    nowMs += Fleet.POLICY.opening().responseTimeoutMs();
+    agent.onTick(nowMs);
+    receiveFromTarget(Fleet.returned(open));
+    assertThat(actions.givenBack).containsExactly(GiveBackReason.SILENT);
+    assertThat(agent.onQuery(Fleet.flow(1), nowMs)).isEqualTo(FlowQueryResult.NOT_HELD);
+  }
 }
