Use up the probe of an ejected target only for an opening that is admitted

Cause: OpeningAdmission recorded the probe before it checked service, configuration, phase, evacuation and cold start. An opening that one of these rejected used up the probe, and the next one was due a second later. Change: OutlierDetector.mayAdmit only checks, and startProbe records the probe of an admitted opening. Failed before: FlowAgentTargetTest.openingOfAnotherServiceDoesNotUseUpTheProbeOfAnEjectedTarget and openingBeyondTheColdStartLimitDoesNotUseUpTheProbeOfAnEjectedTarget.

--- a/core/src/main/java/io/moorstage/core/agent/OpeningAdmission.java
+++ b/core/src/main/java/io/moorstage/core/agent/OpeningAdmission.java
@@ -89,15 +89,17 @@
 
   /**
    * Returns the reason to reject an opening, or null if it is admitted. An admitted opening counts
-   * towards the limit of a cold target. An opening that is admitted as the probe of an ejected
-   * target uses up that probe, even if a later condition rejects the opening.
+   * towards the limit of a cold target, and uses up the probe of an ejected one.
    */
   @Nullable
   GiveBackReason rejectionReason(ForwardTerms terms, long nowMs) {
     if (liveness.hasEnded()) {
       return GiveBackReason.ENDED;
     }
-    if (isRejectedAsOutlier(terms, nowMs)) {
+    // If most targets of a service are ejected, the cause may be outside the targets; the balancer
+    // then overrides the ejection.
+    boolean respectsEjection = rejectsOutliers && !terms.overridesEjection();
+    if (respectsEjection && !outliers.mayAdmit(terms.repeatable(), nowMs)) {
       return GiveBackReason.UNFIT;
     }
     if (!terms.service().equals(service)) {
@@ -113,13 +115,12 @@
     if (evacuated) {
       return GiveBackReason.EVACUATED;
     }
-    return coldLimit.tryAdmit(terms.coldOpeningsPerS(), nowMs) ? null : GiveBackReason.COLD;
-  }
-
-  // If most targets of a service are ejected, the cause may be outside the targets; the balancer
-  // then overrides the ejection.
-  private boolean isRejectedAsOutlier(ForwardTerms terms, long nowMs) {
-    boolean mayReject = rejectsOutliers && !terms.overridesEjection() && outliers.isEjected();
-    return mayReject && !outliers.tryAdmit(terms.repeatable(), nowMs);
+    if (!coldLimit.tryAdmit(terms.coldOpeningsPerS(), nowMs)) {
+      return GiveBackReason.COLD;
+    }
+    if (respectsEjection) {
+      outliers.startProbe(nowMs);
+    }
+    return null;
   }
 }
--- a/core/src/main/java/io/moorstage/core/agent/OutlierDetector.java
+++ b/core/src/main/java/io/moorstage/core/agent/OutlierDetector.java
@@ -111,12 +111,13 @@
   }
 
   /**
-   * Returns whether the target may get a new flow; a flow for an ejected target is its probe.
+   * Returns whether the target may get a new flow; a flow for an ejected target is its probe, see
+   * {@link #startProbe}.
    *
    * @param repeatable whether the flow's requests may be retried, in which case they can survive a
    *     failed probe; only such a flow is used as a probe in the first second after an ejection
    */
-  boolean tryAdmit(boolean repeatable, long nowMs) {
+  boolean mayAdmit(boolean repeatable, long nowMs) {
     if (state == State.IN_USE) {
       return true;
     }
@@ -126,11 +127,14 @@
     boolean anyFlowMayProbe = nowMs - ejectedUntilMs > BASE_EJECTION_MS;
     boolean probeTimedOut = state == State.PROBING && nowMs - probedAtMs > BASE_EJECTION_MS;
     boolean probeDue = state == State.EJECTED || probeTimedOut;
-    if (!probeDue || (!repeatable && !anyFlowMayProbe)) {
-      return false;
+    return probeDue && (repeatable || anyFlowMayProbe);
+  }
+
+  /** Records that the target gets a new flow, which is its probe if the target is ejected. */
+  void startProbe(long nowMs) {
+    if (state != State.IN_USE) {
+      state = State.PROBING;
+      probedAtMs = nowMs;
     }
-    state = State.PROBING;
-    probedAtMs = nowMs;
-    return true;
   }
 }
--- a/core/src/test/java/io/moorstage/core/agent/FlowAgentTargetTest.java
+++ b/core/src/test/java/io/moorstage/core/agent/FlowAgentTargetTest.java
@@ -331,4 +331,40 @@
     assertThat(agent.onTargetReport(report(TargetPhase.READY, Revision.of(2, 4), 6), nowMs))
         .isTrue();
   }
+
+  private void ejectUntilAProbeIsDue() {
+    breakOff(1);
+    breakOff(2);
+    breakOff(3);
+    nowMs += 1_100;
+  }
+
+  private void assertProbeIsAdmitted(int port) {
+    Segment open = Fleet.open(Fleet.flow(port), 0);
+    forward(open);
+    assertThat(actions.delivered).contains(open.toString());
+  }
+
+  // Guards against a longer ejection: an opening that was rejected for another reason used up the
+  // probe, and the next one was due a second later.
+  @Test
+  void openingOfAnotherServiceDoesNotUseUpTheProbeOfAnEjectedTarget() {
+    ejectUntilAProbeIsDue();
+    forward(Fleet.open(Fleet.flow(4), 0), "bundles", 1);
+    assertThat(actions.givenBack).containsExactly(GiveBackReason.OTHER_SERVICE);
+    assertProbeIsAdmitted(5);
+  }
+
+  @Test
+  void openingBeyondTheColdStartLimitDoesNotUseUpTheProbeOfAnEjectedTarget() {
+    coldOpeningsPerS = 3;
+    ejectUntilAProbeIsDue();
+    overridesEjection = true;
+    assertThat(countAdmitted(3)).isEqualTo(3);
+    overridesEjection = false;
+    forward(Fleet.open(Fleet.flow(4), 0));
+    assertThat(actions.givenBack).containsExactly(GiveBackReason.COLD);
+    coldOpeningsPerS = 0;
+    assertProbeIsAdmitted(5);
+  }
 }
