Check the expiry of unconfirmed entries under the keeper's lock

Cause: StateKeeper.onTick checked and reset the time outside the lock, so that entries expired at once when the source was restored a second time at that moment. Failed before: StateKeeperTest.secondRestoreAtTheTimeOfTheExpiryExtendsIt.

--- a/forwarding/src/main/java/io/moorstage/forwarding/state/StateKeeper.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/state/StateKeeper.java
@@ -151,6 +151,13 @@
 
   /** Treats unconfirmed entries as gone once they have expired; called with each tick. */
   public void onTick(long nowMs) {
+    if (nowMs >= unconfirmedUntilMs) {
+      expireUnconfirmed(nowMs);
+    }
+  }
+
+  private synchronized void expireUnconfirmed(long nowMs) {
+    // Checked again under the lock: a second restore may just have extended the time.
     if (nowMs >= unconfirmedUntilMs) {
       unconfirmedUntilMs = NEVER;
       update(FleetState::withoutUnconfirmed, nowMs);
--- a/forwarding/src/test/java/io/moorstage/forwarding/state/StateKeeperTest.java
+++ b/forwarding/src/test/java/io/moorstage/forwarding/state/StateKeeperTest.java
@@ -385,4 +385,35 @@
     assertThat(read.revision()).isEqualTo(5);
     assertThat(read.targets()).containsExactly(target("a", 2), target("b", 4));
   }
+
+  // Guards against entries that expire at once: the source was restored a second time while the
+  // tick
+  // that found their time to have passed waited for the keeper's lock.
+  @Test
+  void secondRestoreAtTheTimeOfTheExpiryExtendsIt() throws InterruptedException {
+    long expiryMs = 1_000 + StateKeeper.UNCONFIRMED_TTL_MS;
+    AtomicReference<StateKeeper> keeper = new AtomicReference<>();
+    AtomicReference<Thread> tick = new AtomicReference<>();
+    StateKeeper.Listener listener =
+        (before, after, nowMs) -> {
+          if (nowMs == expiryMs - 1) {
+            Thread thread = new Thread(() -> keeper.get().onTick(expiryMs));
+            tick.set(thread);
+            thread.start();
+            while (thread.getState() != Thread.State.BLOCKED) {
+              Thread.onSpinWait();
+            }
+            keeper.get().replaceBy(stateAt(Revision.of(3, 1)), expiryMs);
+          }
+        };
+    keeper.set(new StateKeeper(GONE_TARGET_RETENTION_MS, listener));
+    keeper.get().replaceBy(stateAt(Revision.of(1, 18), target("a", Revision.of(1, 17))), 0);
+    keeper.get().replaceBy(stateAt(Revision.of(2, 16)), 1_000);
+    keeper.get().replaceBy(stateAt(Revision.of(2, 17)), expiryMs - 1);
+    tick.get().join();
+
+    assertThat(keeper.get().state().target("a").phase()).isEqualTo(TargetPhase.READY);
+    keeper.get().onTick(expiryMs + StateKeeper.UNCONFIRMED_TTL_MS);
+    assertThat(keeper.get().state().target("a").phase()).isEqualTo(TargetPhase.GONE);
+  }
 }
