Keep the newest confirmation whichever thread reports it last

Cause: StateConfirmation.onConfirmed checked and set without a lock, and the balancer took whatever came last. Of two threads, the one with the older confirmation could come last. Change: both keep the later of the two. The order of two threads in StateConfirmation itself has no test; the test sends the balancer both confirmations in the wrong order. Failed before: ConfirmationTest.olderConfirmationThatArrivesLateDoesNotReplaceANewerOne.

--- a/core/src/main/java/io/moorstage/core/balancer/FlowOpener.java
+++ b/core/src/main/java/io/moorstage/core/balancer/FlowOpener.java
@@ -38,9 +38,12 @@
     this.waiting = new WaitingOpenings(policy.opening());
   }
 
-  /** Records until when the configuration source has confirmed the state as current. */
+  /**
+   * Records until when the configuration source has confirmed the state as current. Confirmations
+   * come from several threads, in any order.
+   */
   void onConfirmed(long untilMs) {
-    confirmedUntilMs = untilMs;
+    confirmedUntilMs = Math.max(confirmedUntilMs, untilMs);
   }
 
   // ---- waiting openings ----
--- a/forwarding/src/main/java/io/moorstage/forwarding/daemon/StateConfirmation.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/daemon/StateConfirmation.java
@@ -8,6 +8,7 @@
 import io.moorstage.forwarding.source.SourceFollower;
 import io.moorstage.forwarding.source.SourceReaders;
 import io.moorstage.forwarding.state.StateKeeper;
+import java.util.concurrent.atomic.AtomicLong;
 
 /**
  * Tracks when this balancer's state was last confirmed as current. Thread-safe.
@@ -35,7 +36,7 @@
   private final StateKeeper keeper;
   private final SourceFollower follower;
   private final SourceReaders readers;
-  private volatile long confirmedAtMs;
+  private final AtomicLong confirmedAtMs = new AtomicLong();
 
   StateConfirmation(
       FlowBalancer balancer, StateKeeper keeper, SourceFollower follower, SourceReaders readers) {
@@ -47,8 +48,8 @@
 
   /** Records that the state was current at a time of the monotonic clock, in milliseconds. */
   void onConfirmed(long atMs) {
-    if (atMs > confirmedAtMs) {
-      confirmedAtMs = atMs;
+    long before = confirmedAtMs.getAndAccumulate(atMs, Math::max);
+    if (atMs > before) {
       balancer.onConfirmed(atMs + CONFIRMATION_TTL_MS);
     }
   }
@@ -80,14 +81,16 @@
    * to the source failed, or the state has never been confirmed.
    */
   int advertisedAgeMs(long nowMs) {
-    boolean confirmed = follower.isReadingSource() && confirmedAtMs > 0;
+    long atMs = confirmedAtMs.get();
+    boolean confirmed = follower.isReadingSource() && atMs > 0;
     return confirmed
-        ? (int) Math.min(nowMs - confirmedAtMs, Integer.MAX_VALUE)
+        ? (int) Math.min(nowMs - atMs, Integer.MAX_VALUE)
         : PeerMessage.BalancerBeacon.NOT_CONFIRMED;
   }
 
   /** Returns the time since the last confirmation, in milliseconds; -1 before the first one. */
   long metricAgeMs() {
-    return confirmedAtMs == 0 ? NEVER_CONFIRMED : MonotonicClock.nowMs() - confirmedAtMs;
+    long atMs = confirmedAtMs.get();
+    return atMs == 0 ? NEVER_CONFIRMED : MonotonicClock.nowMs() - atMs;
   }
 }
