Count the staleness of an agent's copy from the first newer revision

Cause: a beacon of any balancer that was not ahead of the copy reset the time since which it was stale, and this time was 0 at the start. Change: the copy is stale from the first beacon with a newer revision until it has that revision. Failed before: three of the four tests of AgentStateCopyTest, with the decision moved to isFetchDue.

--- a/forwarding/src/main/java/io/moorstage/forwarding/daemon/AgentStateCopy.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/daemon/AgentStateCopy.java
@@ -42,8 +42,15 @@
   private final PeerStateFetcher fetcher;
   @Nullable private volatile byte[] encoded;
   private volatile long revision;
-  private volatile long lastFetchAtMs;
-  private volatile long staleSinceMs;
+
+  /** Guarded by this, as are the fields after it. */
+  private long lastFetchAtMs;
+
+  /** Whether a balancer has advertised {@link #aheadRevision}, which the copy lacks. */
+  private boolean isStale;
+
+  private long aheadRevision;
+  private long staleSinceMs;
 
   AgentStateCopy(ForwardingSettings settings, ForwardingMetrics metrics, EventLog log) {
     this.zone = settings.zone();
@@ -75,16 +82,28 @@
    * #OTHER_ZONE_DELAY_MS}.
    */
   void onBeacon(int balancer, PeerMessage.BalancerBeacon beacon, long nowMs) {
+    if (isFetchDue(beacon, nowMs)) {
+      fetcher.fetch(balancer);
+    }
+  }
+
+  /** Returns whether the state of a balancer is to be fetched now, and if so records the time. */
+  synchronized boolean isFetchDue(PeerMessage.BalancerBeacon beacon, long nowMs) {
     if (beacon.revision() <= revision || !beacon.keepsCopy()) {
+      return false;
+    }
+    if (!isStale || revision >= aheadRevision) {
+      isStale = true;
+      aheadRevision = beacon.revision();
       staleSinceMs = nowMs;
-      return;
     }
     boolean sameZone = beacon.zone().equals(zone);
     boolean otherZoneAllowed = nowMs - staleSinceMs > OTHER_ZONE_DELAY_MS;
-    if ((sameZone || otherZoneAllowed) && nowMs - lastFetchAtMs >= COPY_INTERVAL_MS) {
+    boolean isDue = (sameZone || otherZoneAllowed) && nowMs - lastFetchAtMs >= COPY_INTERVAL_MS;
+    if (isDue) {
       lastFetchAtMs = nowMs;
-      fetcher.fetch(balancer);
     }
+    return isDue;
   }
 
   @Override
