Keep a balancer isolated when its last agents are evicted

Cause: AgentDirectory.hasLostAll was false once no agent was known, which is the case a second after all agents have announced that they stop. Failed before: AgentDirectoryTest.agentsStayLostWhenTheirEntriesAreEvicted.

--- a/core/src/main/java/io/moorstage/core/balancer/AgentDirectory.java
+++ b/core/src/main/java/io/moorstage/core/balancer/AgentDirectory.java
@@ -28,6 +28,9 @@
   private final ForwardingPolicy policy;
   private final Map<Integer, KnownAgent> knownAgents = new HashMap<>();
 
+  /** Whether an agent has ever sent a beacon; its entry may have been evicted. */
+  private boolean hasHeardOfAgents;
+
   /**
    * The time of the first unanswered query, by agent address. A beacon or a response removes the
    * entry.
@@ -59,6 +62,7 @@
    * @return whether the agent was unknown or inactive before and is not stopping
    */
   boolean recordReport(AgentReport report, long nowMs) {
+    hasHeardOfAgents = true;
     int address = report.address();
     KnownAgent known = knownAgents.get(address);
     boolean sameService = known != null && known.service().equals(report.service());
@@ -145,8 +149,8 @@
   }
 
   /**
-   * Returns whether agents are known, but none of them has sent a beacon within the last {@code
-   * periodMs} milliseconds.
+   * Returns whether agents have sent beacons, but none of them within the last {@code periodMs}
+   * milliseconds.
    */
   boolean hasLostAll(int periodMs, long nowMs) {
     for (KnownAgent agent : knownAgents.values()) {
@@ -154,7 +158,7 @@
         return false;
       }
     }
-    return !knownAgents.isEmpty();
+    return hasHeardOfAgents;
   }
 
   /**
--- a/core/src/main/java/io/moorstage/core/balancer/FlowBalancer.java
+++ b/core/src/main/java/io/moorstage/core/balancer/FlowBalancer.java
@@ -131,8 +131,8 @@
   }
 
   /**
-   * Returns whether agents are known, but none of them has sent a beacon within the last {@code
-   * periodMs} milliseconds.
+   * Returns whether agents have sent beacons, but none of them within the last {@code periodMs}
+   * milliseconds.
    */
   public synchronized boolean hasLostAllAgents(int periodMs, long nowMs) {
     return tables.agents().hasLostAll(periodMs, nowMs);
