--- a/core/src/main/java/io/moorstage/core/agent/FlowAgent.java
+++ b/core/src/main/java/io/moorstage/core/agent/FlowAgent.java
@@ -55,13 +55,14 @@
     if (!target.update(report, nowMs)) {
       return false;
     }
-    flows.requests().setCapacity(report.capacity());
+    flows.requests().setCapacity(report.capacity(), nowMs);
     GiveBackReason leavingReason = target.admission().leavingReason();
     if (leavingReason != null) {
       flows.requests().admissionQueue().giveBackOpenings(leavingReason, nowMs);
     }
     flows.requests().startWaiting(nowMs);
-    return phaseBefore != report.phase() || evacuatedBefore != report.evacuated();
+    // A draining phase is kept against a ready report of the same start.
+    return phaseBefore != target.admission().phase() || evacuatedBefore != report.evacuated();
   }
 
   /**
--- a/core/src/main/java/io/moorstage/core/agent/RequestQueue.java
+++ b/core/src/main/java/io/moorstage/core/agent/RequestQueue.java
@@ -64,10 +64,14 @@
     this.delivery = delivery;
   }
 
-  /** Sets the number of requests that the target works on at a time; 0 if not known. */
-  void setCapacity(int capacity) {
+  /**
+   * Sets the number of requests that the target works on at a time, 0 if not known, and releases
+   * waiting requests to the places that become free.
+   */
+  void setCapacity(int capacity, long nowMs) {
     gate.setCapacity(capacity);
     admissionQueue.setCapacity(capacity);
+    releaseNext(nowMs);
   }
 
   /** Returns the queue that is used with overload control. */
@@ -226,6 +230,10 @@
     flow.endRequest();
     gate.removeInProgress();
     admissionQueue.startWaiting(nowMs);
+    releaseNext(nowMs);
+  }
+
+  private void releaseNext(long nowMs) {
     for (AgentFlow next = gate.pollNext(nowMs); next != null; next = gate.pollNext(nowMs)) {
       release(next, nowMs);
     }
--- a/forwarding/src/main/java/io/moorstage/forwarding/daemon/PeerCatchUp.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/daemon/PeerCatchUp.java
@@ -7,6 +7,7 @@
 import io.moorstage.forwarding.metrics.ForwardingCounter;
 import io.moorstage.forwarding.metrics.ForwardingMetrics;
 import io.moorstage.forwarding.net.MonotonicClock;
+import io.moorstage.forwarding.net.TickTimer;
 import io.moorstage.forwarding.settings.ForwardingSettings;
 import io.moorstage.forwarding.source.SourceFollower;
 import io.moorstage.forwarding.state.FleetStateCodec;
@@ -20,8 +21,19 @@
 /**
  * Fetches the state of a peer that has a newer one than this balancer. {@link StateLag} decides
  * when and from which peer. Thread-safe.
+ *
+ * <p>The source does not know the former services of routes, at whose targets flows may still be
+ * open. So after its start this balancer also fetches the complete state of one peer that is not
+ * ahead, if the source was faster, and takes the former services from it.
  */
 final class PeerCatchUp implements PeerStateFetcher.StateHandler {
+  /**
+   * The time between attempts to fetch a first complete state, in milliseconds. After a loss of all
+   * nodes, peers send beacons before they serve their state, and each failed fetch takes processor
+   * time from the start.
+   */
+  private static final int FIRST_PEER_STATE_RETRY_MS = 1_000;
+
   private final String zone;
   private final StateKeeper keeper;
   private final SourceFollower follower;
@@ -30,6 +42,12 @@
   private final PeerStateFetcher fetcher;
   private final StateLag lag = new StateLag();
 
+  /** Guarded by this. */
+  private final TickTimer firstPeerStateTimer = new TickTimer();
+
+  /** Whether the complete state of a peer has been received since the start. */
+  private volatile boolean hasPeerState;
+
   PeerCatchUp(
       ForwardingSettings settings,
       StateKeeper keeper,
@@ -54,9 +72,18 @@
   void onAdvertised(int peer, String peerZone, long revision, long nowMs) {
     boolean isSameZone = peerZone.equals(zone);
     lag.recordPeerRevision(peer, isSameZone, revision, keeper.state().revision(), nowMs);
+    if (revision > 0 && isFirstPeerStateDue(nowMs)) {
+      fetcher.fetch(peer);
+    }
     fetchIfBehind(nowMs);
   }
 
+  private synchronized boolean isFirstPeerStateDue(long nowMs) {
+    return !hasPeerState
+        && !fetcher.isBusy()
+        && firstPeerStateTimer.restartIfDue(FIRST_PEER_STATE_RETRY_MS, nowMs);
+  }
+
   /**
    * Fetches the state of a peer that is ahead of this node, once the source has had time to deliver
    * the same changes. The main loop calls this at each tick.
@@ -78,6 +105,9 @@
   }
 
   private PeerStateQuery ownStateQuery() {
+    if (!hasPeerState) {
+      return PeerStateQuery.COMPLETE_STATE;
+    }
     FleetState state = keeper.state();
     return new PeerStateQuery(state.revision(), state.configuration().version());
   }
@@ -87,8 +117,12 @@
       throws StateSourceException {
     FleetStateCodec.PeerState response = FleetStateCodec.decode(encoded);
     FleetState peerState = response.state();
+    if (response.complete()) {
+      hasPeerState = true;
+    }
     long ownRevision = keeper.state().revision();
     if (peerState.revision() <= ownRevision) {
+      keeper.merge(peerState.configuration(), MonotonicClock.nowMs());
       return;
     }
     log.event(
--- a/forwarding/src/main/java/io/moorstage/forwarding/state/StateKeeper.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/state/StateKeeper.java
@@ -1,6 +1,7 @@
 package io.moorstage.forwarding.state;
 
 import io.moorstage.core.state.FleetState;
+import io.moorstage.core.state.ForwardingConfiguration;
 import io.moorstage.core.state.Revision;
 import io.moorstage.core.state.StateChanges;
 import io.moorstage.core.state.TargetRecord;
@@ -123,6 +124,14 @@
         nowMs);
   }
 
+  /**
+   * Merges a peer's copy of the configuration, which may have former services of routes that this
+   * node does not know, also if it is of the same version or an older one.
+   */
+  public void merge(ForwardingConfiguration copy, long nowMs) {
+    update(current -> current.merge(copy), nowMs);
+  }
+
   private synchronized void update(UnaryOperator<FleetState> transition, long nowMs) {
     FleetState before = state;
     state = formerServices.removeExpired(evictGone(transition.apply(before), nowMs), nowMs);
@@ -142,6 +151,13 @@
 
   /** Treats unconfirmed entries as gone once they have expired; called with each tick. */
   public void onTick(long nowMs) {
+    if (nowMs >= unconfirmedUntilMs) {
+      expireUnconfirmed(nowMs);
+    }
+  }
+
+  private synchronized void expireUnconfirmed(long nowMs) {
+    // Checked again under the lock: a second restore may just have extended the time.
     if (nowMs >= unconfirmedUntilMs) {
       unconfirmedUntilMs = NEVER;
       update(FleetState::withoutUnconfirmed, nowMs);
