--- a/core/src/main/java/io/moorstage/core/agent/AdmissionQueue.java
+++ b/core/src/main/java/io/moorstage/core/agent/AdmissionQueue.java
@@ -101,21 +101,23 @@
       return false;
     }
     openings.put(flow, entry);
-    giveBackDelayed(nowMs);
+    giveBackDelayedBy(entry, nowMs);
     return true;
   }
 
   /** Queues a request on an open flow, and gives back the openings that it delays too far. */
   void addRequest(FlowId flow, Waiter request, SchedulingTerms terms, int timeoutMs, long nowMs) {
-    requests.put(flow, scheduler.addRequest(request, terms, flow.service(), timeoutMs, nowMs));
-    giveBackDelayed(nowMs);
+    ScheduledRequest<Waiter> entry =
+        scheduler.addRequest(request, terms, flow.service(), timeoutMs, nowMs);
+    requests.put(flow, entry);
+    giveBackDelayedBy(entry, nowMs);
   }
 
-  private void giveBackDelayed(long nowMs) {
+  private void giveBackDelayedBy(ScheduledRequest<Waiter> arrival, long nowMs) {
     int admitted = admitted(nowMs);
-    for (Waiter opening = scheduler.pollDelayed(admitted, nowMs);
+    for (Waiter opening = scheduler.pollDelayed(arrival, admitted, nowMs);
         opening != null;
-        opening = scheduler.pollDelayed(admitted, nowMs)) {
+        opening = scheduler.pollDelayed(arrival, admitted, nowMs)) {
       opening.giveBack(GiveBackReason.OVERLOADED, nowMs);
     }
   }
--- a/core/src/main/java/io/moorstage/core/agent/AgentFlows.java
+++ b/core/src/main/java/io/moorstage/core/agent/AgentFlows.java
@@ -12,6 +12,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.LongToDoubleFunction;
 import javax.annotation.Nullable;
 
 /**
@@ -34,6 +35,7 @@
       AgentTarget target,
       AgentActions actions,
       DecisionLog log,
+      LongToDoubleFunction serviceMs,
       long nowMs) {
     this.target = target;
     this.actions = actions;
@@ -41,7 +43,7 @@
     this.retention = policy.retention();
     this.startedAtMs = nowMs;
     this.openings = new PendingOpenings(policy.opening().responseTimeoutMs());
-    this.requests = new RequestQueue(policy, unused -> target.meanResponseMs(), this::deliver);
+    this.requests = new RequestQueue(policy, serviceMs, this::deliver);
   }
 
   /** Returns the requests of all flows. */
--- a/core/src/main/java/io/moorstage/core/agent/FlowAgent.java
+++ b/core/src/main/java/io/moorstage/core/agent/FlowAgent.java
@@ -11,6 +11,8 @@
 import io.moorstage.core.settings.ForwardingPolicy;
 import io.moorstage.core.state.TargetPhase;
 import java.nio.ByteBuffer;
+import java.util.function.LongToDoubleFunction;
+import javax.annotation.Nullable;
 
 /**
  * Decides for each segment whether an agent delivers it to its target, queues it, or gives it back
@@ -35,10 +37,29 @@
    */
   public FlowAgent(
       ForwardingPolicy policy, String service, AgentActions actions, DecisionLog log, long nowMs) {
+    this(policy, service, actions, log, null, nowMs);
+  }
+
+  /**
+   * Creates an agent without any flows.
+   *
+   * @param serviceMs the mean time that the target works on a request, at a time in milliseconds;
+   *     null to use the agent's own measurement
+   */
+  FlowAgent(
+      ForwardingPolicy policy,
+      String service,
+      AgentActions actions,
+      DecisionLog log,
+      @Nullable LongToDoubleFunction serviceMs,
+      long nowMs) {
     this.actions = actions;
     this.lastTickMs = nowMs;
     this.target = new AgentTarget(policy, service, log, nowMs);
-    this.flows = new AgentFlows(policy, target, actions, log, nowMs);
+    LongToDoubleFunction measuredMs = unused -> target.meanResponseMs();
+    this.flows =
+        new AgentFlows(
+            policy, target, actions, log, serviceMs == null ? measuredMs : serviceMs, nowMs);
     ForwardedOpenings openings = new ForwardedOpenings(target, flows, actions, log);
     this.forwardedSegments = new ForwardedSegments(service, target, flows, openings, actions);
     this.targetSegments = new TargetSegments(target, flows, actions, log);
--- a/core/src/main/java/io/moorstage/core/agent/RequestLevel.java
+++ b/core/src/main/java/io/moorstage/core/agent/RequestLevel.java
@@ -88,19 +88,35 @@
   }
 
   /**
-   * Returns how many requests of this level are served before one at a position of a share, if each
-   * other share has its turn first.
+   * Returns how many requests of this level are served before one at a position of a share. A share
+   * without waiting requests gets its turn after all others.
    */
   int countBefore(RequestShare<T> share, int position) {
     int count = position;
+    int turnsOfOther = position + 1;
     for (RequestShare<T> other : turns) {
-      if (other != share) {
-        count += Math.min(other.size(), position + 1);
+      if (other == share) {
+        turnsOfOther = position;
+      } else {
+        count += Math.min(other.size(), turnsOfOther);
       }
     }
     return count;
   }
 
+  /** Returns how many turns a share has before the request at a position of another share. */
+  int turnsBefore(RequestShare<T> share, RequestShare<T> other, int position) {
+    for (RequestShare<T> next : turns) {
+      if (next == share) {
+        return position + 1;
+      }
+      if (next == other) {
+        return position;
+      }
+    }
+    return position;
+  }
+
   /** Removes empty shares that have not been used since a time. */
   void evictUnusedSince(long usedBeforeMs) {
     shares.values().removeIf(share -> share.size() == 0 && share.lastUsedMs() < usedBeforeMs);
--- a/core/src/main/java/io/moorstage/core/agent/RequestScheduler.java
+++ b/core/src/main/java/io/moorstage/core/agent/RequestScheduler.java
@@ -151,21 +151,28 @@
   }
 
   /**
-   * Removes and returns an opening that is delayed past its latest start by others, or null if
-   * there is none. Of the lowest priority with such an opening, the largest share loses its last
-   * one.
+   * Removes and returns an opening that an arrival delays past its latest start, or null if there
+   * is none. Of the lowest priority with such an opening, the largest share loses its last one.
    *
+   * <p>Only openings that the arrival delays are considered: time alone rejects none, as estimates
+   * of the service time vary.
+   *
+   * @param arrival the request that was queued last
    * @param admitted the number of requests admitted to the target and not answered
    */
   @Nullable
-  T pollDelayed(int admitted, long nowMs) {
+  T pollDelayed(ScheduledRequest<T> arrival, int admitted, long nowMs) {
     double meanMs = serviceMs(nowMs);
-    for (RequestLevel<T> level : levels.descendingMap().values()) {
+    int priority = arrival.share().level().priority();
+    for (RequestLevel<T> level : levels.tailMap(priority, true).descendingMap().values()) {
       ScheduledRequest<T> delayed = null;
       for (RequestShare<T> share : level.activeShares()) {
         ScheduledRequest<T> last = share.lastRejectable();
         boolean isLarger = delayed == null || share.size() > delayed.share().size();
-        if (last != null && isLarger && isDelayed(last, admitted, meanMs, nowMs)) {
+        if (last != null
+            && isLarger
+            && arrival.delays(last)
+            && isDelayed(last, admitted, meanMs, nowMs)) {
           delayed = last;
         }
       }
@@ -177,10 +184,10 @@
     return null;
   }
 
-  private boolean isDelayed(ScheduledRequest<T> request, int admitted, double meanMs, long nowMs) {
-    RequestShare<T> share = request.share();
-    long availableMs = request.deadlines().latestStartMs() - nowMs;
-    return !startsInTime(share, share.positionOf(request), availableMs, admitted, meanMs);
+  private boolean isDelayed(ScheduledRequest<T> waiting, int admitted, double meanMs, long nowMs) {
+    RequestShare<T> share = waiting.share();
+    long availableMs = waiting.deadlines().latestStartMs() - nowMs;
+    return !startsInTime(share, share.positionOf(waiting), availableMs, admitted, meanMs);
   }
 
   /** Removes and returns an opening whose client is about to give up, or null if there is none. */
@@ -211,11 +218,15 @@
 
   private boolean startsInTime(
       RequestShare<T> share, int position, long availableMs, int admitted, double meanMs) {
+    return countAhead(share, position, admitted) * meanMs <= (double) availableMs * capacity;
+  }
+
+  private int countAhead(RequestShare<T> share, int position, int admitted) {
     int ahead = admitted + share.level().countBefore(share, position);
     for (RequestLevel<T> level : levels.headMap(share.level().priority()).values()) {
       ahead += level.size();
     }
-    return ahead * meanMs <= (double) availableMs * capacity;
+    return ahead;
   }
 
   /**
--- a/core/src/main/java/io/moorstage/core/agent/ScheduledRequest.java
+++ b/core/src/main/java/io/moorstage/core/agent/ScheduledRequest.java
@@ -63,6 +63,18 @@
     return share;
   }
 
+  /** Returns whether this request has delayed another one, which waited before it arrived. */
+  boolean delays(ScheduledRequest<T> other) {
+    if (priority != other.priority) {
+      return priority < other.priority;
+    }
+    if (share == other.share) {
+      return IN_SHARE.compare(this, other) < 0;
+    }
+    int position = other.share.positionOf(other);
+    return share.size() <= share.level().turnsBefore(share, other.share, position);
+  }
+
   /** Returns whether the request can no longer be answered within its objective. */
   boolean isLate() {
     return late;
