Keep overload rejections from resetting open flows and suspecting targets

An opening is not reset while a copy that the client has sent by now has not arrived here: it may have opened the flow through another balancer. An opening that cannot be reset has no target any more, so that its client's next copy is placed anew and the target that rejected it is not treated as unresponsive. A target whose agent reports a limited rank is not suspect because an opening at it is unanswered, since the opening may wait in the agent's queue.

--- a/core/src/main/java/io/moorstage/core/balancer/BalancerFlow.java
+++ b/core/src/main/java/io/moorstage/core/balancer/BalancerFlow.java
@@ -14,6 +14,9 @@
   private static final Search.Stage IDLE = new Search.Idle();
   private static final Search.Stage NOT_FOUND = new Search.NotFound();
 
+  /** When clients send the copies of an opening, in milliseconds after the first one. */
+  private static final int[] COPY_DELAYS_MS = {0, 200, 600};
+
   private final FlowId id;
   private final String service;
 
@@ -38,9 +41,14 @@
 
   private boolean rejectedAsOverloaded;
 
-  /** Whether earlier copies of the opening may have gone to a target through another balancer. */
+  /** Whether this balancer has seen a copy of the opening, but not all earlier ones. */
   private boolean missesEarlierCopies;
 
+  /** The number of the first copy after all that this balancer has seen. */
+  private int nextCopy;
+
+  private final long createdAtMs;
+
   private long openedAtMs;
   private long lastUsedMs;
   private boolean closed;
@@ -61,6 +69,7 @@
     this.id = id;
     this.service = service;
     this.targetResponded = targetResponded;
+    this.createdAtMs = nowMs;
     this.openedAtMs = nowMs;
     this.lastUsedMs = nowMs;
   }
@@ -217,17 +226,23 @@
     return openingsNotGivenBack > 0;
   }
 
-  /** Records that the first opening segment that this balancer has seen is a retransmission. */
-  void markEarlierCopiesMissed() {
-    missesEarlierCopies = true;
+  /** Records that the client has sent a copy of the opening through this balancer. */
+  void recordCopy(int copy) {
+    if (copy >= nextCopy) {
+      missesEarlierCopies |= copy > nextCopy;
+      nextCopy = copy + 1;
+    }
   }
 
   /**
    * Returns whether a target may have accepted the flow or may still accept a copy of its opening,
-   * as far as this balancer can know.
+   * as far as this balancer can know. A copy that is due but has not arrived may have gone to a
+   * target through another balancer.
    */
-  boolean mayHaveBeenAccepted() {
-    return targetResponded || missesEarlierCopies || hasOpeningsNotGivenBack();
+  boolean mayHaveBeenAccepted(long nowMs) {
+    boolean missesDueCopy =
+        nextCopy < COPY_DELAYS_MS.length && nowMs - createdAtMs >= COPY_DELAYS_MS[nextCopy];
+    return targetResponded || missesEarlierCopies || missesDueCopy || hasOpeningsNotGivenBack();
   }
 
   /** Records that an agent has given back the opening since its target is overloaded. */
--- a/core/src/main/java/io/moorstage/core/balancer/FlowOpener.java
+++ b/core/src/main/java/io/moorstage/core/balancer/FlowOpener.java
@@ -122,9 +122,7 @@
       return;
     }
     BalancerFlow flow = BalancerFlow.opening(segment.flow(), service, nowMs);
-    if (segment.copy() > 0) {
-      flow.markEarlierCopiesMissed();
-    }
+    flow.recordCopy(segment.copy());
     tables.add(flow);
     place(flow, segment, datagram, "new", nowMs);
   }
@@ -132,9 +130,16 @@
   private void openRetransmitted(
       BalancerFlow flow, Segment segment, ByteBuffer datagram, long nowMs) {
     flow.markUsed(nowMs);
+    flow.recordCopy(segment.copy());
     TargetSlot target = flow.target();
     switch (retries.destinationOf(flow, nowMs)) {
-      case PLACE_AS_NEW -> place(flow, segment, datagram, "copy", nowMs);
+      case PLACE_AS_NEW -> {
+        if (flow.isRejectedAsOverloaded()) {
+          // Targets that rejected an earlier copy may have room now.
+          flow.clearTried();
+        }
+        place(flow, segment, datagram, "copy", nowMs);
+      }
       case SAME_TARGET -> {
         log.decided(
             Decision.REPEATED, flow.id(), target.address(), "copy", tables.ageOfState(nowMs));
@@ -142,7 +147,9 @@
         tables.send(flow, target, datagram);
       }
       case OTHER_TARGET -> {
-        retries.exclude(target, GiveBackReason.SILENT, nowMs);
+        if (!retries.mayWaitAt(target, nowMs)) {
+          retries.exclude(target, GiveBackReason.SILENT, nowMs);
+        }
         flow.addTried(target);
         place(flow, segment, datagram, "unanswered", nowMs);
       }
@@ -168,16 +175,27 @@
   }
 
   private void rejectOverloaded(BalancerFlow flow, Segment segment, long nowMs) {
-    // While a target may still accept a copy, the last copy that is given back leads to the reset.
-    if (!flow.mayHaveBeenAccepted()) {
+    if (flow.mayHaveBeenAccepted(nowMs)) {
+      // If a target still has a copy, the last one that is given back leads to the reset.
+      keepWithoutTarget(flow);
+    } else {
       tables.remove(flow);
       resetOpening(segment, OpeningRetries.Rejection.OVERLOADED.reason(), nowMs);
     }
   }
 
+  // The target that rejected the opening last neither holds the flow nor leaves it unanswered. The
+  // client's next copy is placed like a new opening.
+  private static void keepWithoutTarget(BalancerFlow flow) {
+    if (!flow.hasTargetResponded()) {
+      flow.moveTo(null);
+    }
+  }
+
   private void waitOrReject(BalancerFlow flow, Segment segment, ByteBuffer datagram, long nowMs) {
-    if (flow.isRejectedAsOverloaded() && flow.mayHaveBeenAccepted()) {
+    if (flow.isRejectedAsOverloaded() && flow.mayHaveBeenAccepted(nowMs)) {
       // The targets that were tried count towards the limit of placements.
+      keepWithoutTarget(flow);
       return;
     }
     if (flow.hasOpeningsNotGivenBack()) {
--- a/core/src/main/java/io/moorstage/core/balancer/OpeningRetries.java
+++ b/core/src/main/java/io/moorstage/core/balancer/OpeningRetries.java
@@ -127,7 +127,7 @@
   // The level does not apply to an opening that a target may accept through an earlier copy: it
   // must not be reset, and without a further placement its client would wait in vain.
   private boolean isAboveLevel(BalancerFlow flow, TargetPool pool, long nowMs) {
-    return !flow.mayHaveBeenAccepted() && !level.admits(pool, tables.rankOf(flow), nowMs);
+    return !flow.mayHaveBeenAccepted(nowMs) && !level.admits(pool, tables.rankOf(flow), nowMs);
   }
 
   /**
@@ -174,6 +174,14 @@
         && !target.isSuspect(nowMs);
   }
 
+  /**
+   * Returns whether an unanswered opening may wait in the queue of a target's agent, by the agent's
+   * last report. The target is then not suspect because of it.
+   */
+  boolean mayWaitAt(TargetSlot target, long nowMs) {
+    return overload.enabled() && target.admittedRank(nowMs) < SchedulingTerms.ADMIT_ALL;
+  }
+
   private boolean hasAlternative(BalancerFlow flow, TargetSlot target, long nowMs) {
     if (!target.acceptsNewFlows()) {
       return true;
--- a/core/src/test/java/io/moorstage/core/balancer/OverloadedOpeningsTest.java
+++ b/core/src/test/java/io/moorstage/core/balancer/OverloadedOpeningsTest.java
@@ -327,4 +327,75 @@
     fixture.send(OPENING);
     assertThat(fixture.lastDecision()).isEqualTo("held-for-target no-target");
   }
+
+  /**
+   * Guards against the reset of an open flow: the copy sent after 200 ms went through another
+   * balancer, and its target has accepted it.
+   */
+  @Test
+  void openingIsNotResetIfTheClientsNextCopyMayHaveGoneThroughAnotherBalancer() {
+    listFourTargets();
+    fixture.send(OPENING);
+    fixture.nowMs += 400;
+    for (int placement = 0; placement < 3; placement++) {
+      giveBackLast(GiveBackReason.OVERLOADED);
+    }
+    assertThat(fixture.reset).isEmpty();
+  }
+
+  /** Guards against the suspicion of a target whose agent has given the opening back. */
+  @Test
+  void targetThatRejectedAnOpeningWhichCannotBeResetIsNotSuspectAtTheNextCopy() {
+    listFourTargets();
+    fixture.send(COPY);
+    for (int placement = 0; placement < 3; placement++) {
+      giveBackLast(GiveBackReason.OVERLOADED);
+    }
+    int last = fixture.lastForwarded().address();
+    fixture.nowMs += 400;
+    fixture.send(Fleet.open(FLOW, 2));
+    fixture.forwarded.clear();
+    for (int port = 2; port <= 50; port++) {
+      fixture.send(Fleet.open(Fleet.flow(port), 0));
+    }
+    assertThat(fixture.forwardedTo()).contains(last);
+  }
+
+  /** Guards against a copy that is neither placed nor rejected while a target would accept it. */
+  @Test
+  void nextCopyOfAnOpeningThatCannotBeResetIsPlacedAgain() {
+    listFourTargets();
+    fixture.send(COPY);
+    for (int placement = 0; placement < 3; placement++) {
+      giveBackLast(GiveBackReason.OVERLOADED);
+    }
+    fixture.nowMs += 400;
+    fixture.send(Fleet.open(FLOW, 2));
+    assertThat(fixture.forwarded).hasSize(4);
+  }
+
+  /**
+   * Guards against the suspicion of a target at whose agent an opening waits: the agent reports
+   * every 500 ms, so it need not have reported when the client's next copy arrives.
+   */
+  @Test
+  void targetAtWhoseAgentAnOpeningWaitsIsNotSuspectAtTheNextCopy() {
+    listFourTargets();
+    for (int report = 0; report < 3; report++) {
+      reportAll(RANK, A, B, C, D);
+      fixture.nowMs += 500;
+    }
+    reportAll(RANK, A, B, C, D);
+    fixture.nowMs += 100;
+    fixture.send(OPENING);
+    int first = fixture.lastForwarded().address();
+    fixture.nowMs += 200;
+    fixture.send(COPY);
+    fixture.giveBack(first, GiveBackReason.OVERLOADED, OPENING);
+    fixture.forwarded.clear();
+    for (int port = 2; port <= 50; port++) {
+      fixture.send(Fleet.open(Fleet.flow(port), 0));
+    }
+    assertThat(fixture.forwardedTo()).contains(first);
+  }
 }
