Test that a lost report does not lengthen the validity of the next

The test fails: the validity is one and a half times the measured gap, which is 1,000 ms after one lost report, so a rank stays valid for 1,500 ms.

--- a/core/src/test/java/io/moorstage/core/balancer/OverloadedOpeningsTest.java
+++ b/core/src/test/java/io/moorstage/core/balancer/OverloadedOpeningsTest.java
@@ -374,6 +374,22 @@
     assertThat(fixture.forwarded).hasSize(4);
   }
 
+  /** Guards against resets by a report that has outlived two regular intervals. */
+  @Test
+  void lostReportDoesNotExtendTheValidityOfTheNextOne() {
+    listFourTargets();
+    for (int report = 0; report < 3; report++) {
+      reportAll(RANK, A, B, C, D);
+      fixture.nowMs += 500;
+    }
+    // The report that is due now is lost.
+    fixture.nowMs += 500;
+    reportAll(RANK - 1, A, B, C, D);
+    fixture.nowMs += 1_000;
+    fixture.send(OPENING);
+    assertThat(fixture.reset).isEmpty();
+  }
+
   /**
    * Guards against the suspicion of a target at whose agent an opening waits: the agent reports
    * every 500 ms, so it need not have reported when the client's next copy arrives.
