Discard a waiting opening that its target already has, and report admitted ranks not seen

A copy without scheduling terms was delivered while its opening waited, which could then be given back; so could an opening that the target had from an earlier process of the agent. The reported rank was 0 if the least urgent priority seen was rejected, which excluded more urgent ones not seen.

Only AgentOverloadTest, RequestSchedulerTest and ExpectedRequestsTest were run.

--- a/core/src/main/java/io/moorstage/core/agent/AdmissionQueue.java
+++ b/core/src/main/java/io/moorstage/core/agent/AdmissionQueue.java
@@ -183,8 +183,10 @@
         : scheduler.admittedRank(admitted(nowMs), nowMs);
   }
 
-  /** Forgets shares that no request has used for some time. */
+  /** Forgets shares that no request has used for some time, and flows no longer expected. */
   void sweep(long nowMs) {
+    // While the capacity is unknown, nothing else removes accepted flows.
+    expected.count(nowMs);
     scheduler.evictUnusedShares(nowMs);
   }
 }
--- a/core/src/main/java/io/moorstage/core/agent/AgentFlows.java
+++ b/core/src/main/java/io/moorstage/core/agent/AgentFlows.java
@@ -141,7 +141,8 @@
     }
     // A dropped request may start a waiting opening, which adds a flow to the table.
     for (AgentFlow flow : expired) {
-      flows.remove(flow.id());
+      // The drop of another flow may have replaced the entry by that of a new opening.
+      flows.remove(flow.id(), flow);
       requests.drop(flow, nowMs);
     }
     requests.admissionQueue().sweep(nowMs);
--- a/core/src/main/java/io/moorstage/core/agent/ExpectedRequests.java
+++ b/core/src/main/java/io/moorstage/core/agent/ExpectedRequests.java
@@ -52,4 +52,9 @@
     }
     return count;
   }
+
+  /** Returns the number of accepted flows that are kept in memory, expected or not. */
+  int retained() {
+    return accepted.size();
+  }
 }
--- a/core/src/main/java/io/moorstage/core/agent/ForwardedOpenings.java
+++ b/core/src/main/java/io/moorstage/core/agent/ForwardedOpenings.java
@@ -7,7 +7,6 @@
 import io.moorstage.core.log.DecisionLog;
 import io.moorstage.core.message.ForwardTerms;
 import io.moorstage.core.message.GiveBackReason;
-import io.moorstage.core.message.SchedulingTerms;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
@@ -38,14 +37,13 @@
   /** Handles an opening segment that a balancer forwards. */
   void onOpening(
       int balancerAddress, ForwardTerms terms, Segment segment, ByteBuffer datagram, long nowMs) {
-    SchedulingTerms scheduling = terms.scheduling();
-    if (scheduling == null || !flows.requests().isScheduled(terms)) {
-      deliverOrGiveBack(balancerAddress, terms, segment, datagram, nowMs);
-      return;
-    }
     AdmissionQueue queue = flows.requests().admissionQueue();
-    if (queue.opening(segment.flow()) instanceof WaitingOpening waiting) {
+    if (queue.waitingOpenings() > 0
+        && queue.opening(segment.flow()) instanceof WaitingOpening waiting) {
+      // Also without scheduling terms: the waiting opening may be given back later.
       waiting.addCopy(balancerAddress, Datagrams.copyOf(datagram));
+    } else if (!flows.requests().isScheduled(terms)) {
+      deliverOrGiveBack(balancerAddress, terms, segment, datagram, nowMs);
     } else if (wasDelivered(segment.flow()) || queue.hasPlaceAfterOthers(nowMs)) {
       deliverOrGiveBack(balancerAddress, terms, segment, datagram, nowMs);
     } else {
@@ -88,9 +86,7 @@
    * has given it up. It is not given back, since another target must not get it.
    */
   void discardWaiting(FlowId id) {
-    if (flows.requests().waitingOpenings() > 0) {
-      flows.requests().admissionQueue().removeOpening(id);
-    }
+    flows.requests().discardWaitingOpening(id);
   }
 
   private void deliverOrGiveBack(
--- a/core/src/main/java/io/moorstage/core/agent/RequestQueue.java
+++ b/core/src/main/java/io/moorstage/core/agent/RequestQueue.java
@@ -1,6 +1,7 @@
 package io.moorstage.core.agent;
 
 import io.moorstage.core.flow.Datagrams;
+import io.moorstage.core.flow.FlowId;
 import io.moorstage.core.flow.Segment;
 import io.moorstage.core.message.ForwardTerms;
 import io.moorstage.core.message.GiveBackReason;
@@ -95,6 +96,13 @@
     return admissionQueue.waitingOpenings();
   }
 
+  /** Discards the waiting opening of a flow, which must not be given back any more. */
+  void discardWaitingOpening(FlowId flow) {
+    if (waitingOpenings() > 0) {
+      admissionQueue.removeOpening(flow);
+    }
+  }
+
   int waitingRequests() {
     return waitingFlows;
   }
--- a/core/src/main/java/io/moorstage/core/agent/RequestScheduler.java
+++ b/core/src/main/java/io/moorstage/core/agent/RequestScheduler.java
@@ -231,24 +231,25 @@
 
   /**
    * Returns the highest rank at which an opening of a recently seen share would be queued if it
-   * arrived now, or {@link SchedulingTerms#ADMIT_ALL} if each rank would be.
+   * arrived now, or {@link SchedulingTerms#ADMIT_ALL} if each rank would be. Priorities that were
+   * not seen recently count as admitted, unless a more urgent one is rejected.
    *
    * @param admitted the number of requests admitted to the target and not answered
    */
   int admittedRank(int admitted, long nowMs) {
     double meanMs = serviceMs(nowMs);
-    boolean isLowest = true;
+    int rankBelowRejected = SchedulingTerms.ADMIT_ALL;
     for (RequestLevel<T> level : levels.descendingMap().values()) {
       int order = highestAdmittedOrder(level, admitted, meanMs);
-      if (order == SchedulingTerms.LAST_CLIENT && isLowest) {
-        return SchedulingTerms.ADMIT_ALL;
+      if (order == SchedulingTerms.LAST_CLIENT) {
+        return rankBelowRejected;
       }
       if (order >= 0) {
         return new SchedulingTerms(0, level.priority(), order, 0).rank();
       }
-      isLowest = false;
+      rankBelowRejected = new SchedulingTerms(0, level.priority(), 0, 0).rank() - 1;
     }
-    return levels.isEmpty() ? SchedulingTerms.ADMIT_ALL : 0;
+    return Math.max(0, rankBelowRejected);
   }
 
   private int highestAdmittedOrder(RequestLevel<T> level, int admitted, double meanMs) {
--- a/core/src/main/java/io/moorstage/core/agent/TargetSegments.java
+++ b/core/src/main/java/io/moorstage/core/agent/TargetSegments.java
@@ -46,6 +46,8 @@
     if (flow.stage() == AgentFlow.Stage.WITHDRAWN) {
       return;
     }
+    // An earlier process of the agent delivered the opening, or the target holds an offered flow.
+    flows.requests().discardWaitingOpening(segment.flow());
     flow.onTargetSegment(segment, nowMs);
     flows.requests().onAccepted(flow, nowMs);
     actions.sendToClient(segment.flow(), datagram);
--- a/core/src/test/java/io/moorstage/core/agent/AgentOverloadTest.java
+++ b/core/src/test/java/io/moorstage/core/agent/AgentOverloadTest.java
@@ -263,4 +263,58 @@
     int rank = agent.capacityReport().admittedRank();
     assertThat(rank).isEqualTo(new SchedulingTerms(0, 2, 4, 0).rank());
   }
+
+  private void forwardWithoutScheduling(Segment segment) {
+    ForwardTerms terms =
+        new ForwardTerms(Fleet.SERVICE, 1, TIMEOUT_MS, coldOpeningsPerS, true, false, null);
+    agent.onForwarded(Fleet.BALANCER, terms, segment, Fleet.bytes(segment), nowMs);
+  }
+
+  // Guards against an opening that is given back although a copy of it, from a balancer without
+  // overload control, was delivered: two targets could accept it.
+  @Test
+  void copyWithoutSchedulingTermsIsNotDeliveredWhileItsOpeningWaits() {
+    fillAndQueue();
+    nowMs += 200;
+    Segment copy = Fleet.open(Fleet.flow(3), 1);
+    forwardWithoutScheduling(copy);
+    boolean delivered = wasDelivered(copy);
+    nowMs += 1_100;
+    agent.onTick(nowMs);
+    boolean givenBack = actions.givenBack.contains(GiveBackReason.OVERLOADED);
+    assertThat(delivered && givenBack).isFalse();
+    assertThat(agent.waitingOpenings()).isEqualTo(0);
+  }
+
+  // Guards against an opening that is given back although the target, to which the agent delivered
+  // it before it was restarted, has accepted it.
+  @Test
+  void waitingOpeningIsDiscardedWhenTheTargetSendsASegmentOfItsFlow() {
+    fillAndQueue();
+    receiveFromTarget(Fleet.accepted(Fleet.flow(3)));
+    nowMs += 1_300;
+    agent.onTick(nowMs);
+    assertThat(actions.givenBack).doesNotContain(GiveBackReason.OVERLOADED);
+  }
+
+  // Guards against a less urgent opening that is delivered before a request because it came first.
+  @Test
+  void moreUrgentRequestOnAnOpenFlowGoesBeforeAWaitingOpening() {
+    report(1, TargetPhase.READY, false);
+    open(1);
+    begin(1);
+    respond(1);
+    open(2);
+    open(3);
+    begin(2);
+    begin(3);
+    open(4);
+    Segment request = Fleet.data(Fleet.flow(1), 111, 10);
+    forward(request, 1);
+    assertThat(wasDelivered(request)).isFalse();
+    respond(2);
+    assertThat(wasDelivered(request)).isTrue();
+    assertThat(wasOpened(4)).isFalse();
+    assertThat(agent.waitingOpenings()).isEqualTo(1);
+  }
 }
--- a/core/src/test/java/io/moorstage/core/agent/RequestSchedulerTest.java
+++ b/core/src/test/java/io/moorstage/core/agent/RequestSchedulerTest.java
@@ -179,4 +179,15 @@
     scheduler.evictUnusedShares(nowMs);
     assertThat(scheduler.admittedRank(100, nowMs)).isEqualTo(SchedulingTerms.ADMIT_ALL);
   }
+
+  // Guards against reports that keep away openings more urgent than any that was seen: nothing is
+  // known of them, and the balancer would reset them without asking an agent.
+  @Test
+  void admittedRankDoesNotExcludeMoreUrgentOpeningsThatWereNotSeen() {
+    int admitted = 100;
+    SchedulingTerms seen = new SchedulingTerms(OBJECTIVE_MS, 2, 5, 0);
+    assertThat(scheduler.addOpening("seen", seen, ROUTE, TIMEOUT_MS, 0, admitted, nowMs)).isNull();
+    int rank = scheduler.admittedRank(admitted, nowMs);
+    assertThat(rank).isAtLeast(new SchedulingTerms(0, 1, 255, 0).rank());
+  }
 }
