--- a/lab/src/main/java/io/moorstage/lab/client/ClientFlow.java
+++ b/lab/src/main/java/io/moorstage/lab/client/ClientFlow.java
@@ -28,14 +28,17 @@
   private static final long NS_PER_MS = 1_000_000;
 
   private final int port;
-  private final Packets.End service;
+  private final FlowPlan plan;
   private final long openedNs;
+  private final long openedMs = System.currentTimeMillis();
   private int requestsLeft;
   private int copies;
   @Nullable private StandInTarget target;
   private int sequence = FIRST_DATA;
   private long request;
   private long requestStartNs;
+  private long attemptedMs;
+  private boolean hasSentRequest;
   private long lastSentNs;
   private int retryMs;
   private long idleUntilNs;
@@ -51,9 +54,11 @@
     END
   }
 
-  ClientFlow(int port, FlowPlan plan, long nowNs) {
+  /** Creates a flow whose opening is sent now. */
+  public ClientFlow(int port, FlowPlan plan, long nowNs) {
     this.port = port;
-    this.service = plan.service();
+    this.plan = plan;
+    this.attemptedMs = plan.firstAttemptMs();
     this.requestsLeft = plan.requests();
     this.openedNs = nowNs;
   }
@@ -68,8 +73,42 @@
     return Optional.ofNullable(target);
   }
 
-  Packets.End service() {
-    return service;
+  /** Returns the destination address and port. */
+  public Packets.End service() {
+    return plan.service();
+  }
+
+  /** Returns when the opening was first sent, in milliseconds since the epoch. */
+  public long openedMs() {
+    return openedMs;
+  }
+
+  /**
+   * Returns when the current request was first attempted, on this flow or an earlier one, in
+   * milliseconds since the epoch.
+   */
+  public long attemptedMs() {
+    return attemptedMs;
+  }
+
+  /** Returns the flow that retries the current request, and then carries the remaining ones. */
+  FlowPlan retryPlan() {
+    int pending = request == 0 ? 0 : 1;
+    long number = request == 0 ? plan.firstNumber() : request;
+    int retries = plan.retries() - 1;
+    return new FlowPlan(service(), requestsLeft + pending, retries, attemptedMs, number);
+  }
+
+  long firstNumber() {
+    return plan.firstNumber();
+  }
+
+  boolean isFirstRequestDue() {
+    return !hasSentRequest;
+  }
+
+  boolean mayRetry() {
+    return plan.retries() > 0;
   }
 
   int copies() {
@@ -129,6 +168,10 @@
   }
 
   void startRequest(long number, long nowNs) {
+    if (hasSentRequest) {
+      attemptedMs = System.currentTimeMillis();
+    }
+    hasSentRequest = true;
     request = number;
     requestsLeft--;
     requestStartNs = nowNs;
--- a/lab/src/main/java/io/moorstage/lab/client/ClientListener.java
+++ b/lab/src/main/java/io/moorstage/lab/client/ClientListener.java
@@ -4,6 +4,9 @@
 
 /** Receives the events of clients, on the clients' thread. */
 public interface ClientListener {
+  /** Called before the first opening packet of a flow is sent. */
+  default void onOpen(ClientFlow flow) {}
+
   /** Called before a packet is sent. */
   void onSend(ByteBuffer packet);
 
@@ -17,6 +20,16 @@
    */
   void onServed(long tookNs);
 
+  /**
+   * Called when a request ends, including all its attempts.
+   *
+   * @param served whether its response has arrived
+   */
+  default void onRequestEnd(ClientFlow flow, boolean served) {}
+
+  /** Called when an acceptance arrives for a flow that has ended. */
+  default void onLateAcceptance(int port) {}
+
   /** Called when a flow ends before all its requests were served. */
   void onFailed(ClientFlow flow);
 
--- a/lab/src/main/java/io/moorstage/lab/client/FlowClients.java
+++ b/lab/src/main/java/io/moorstage/lab/client/FlowClients.java
@@ -11,15 +11,19 @@
 import java.nio.channels.DatagramChannel;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.Iterator;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntFunction;
 import javax.annotation.Nullable;
 
-/** Clients on one thread and at one address; each flow has its own port. */
+/** Clients on one thread, at one or more addresses; each flow has its own port. */
 public final class FlowClients implements AutoCloseable {
   /** Interval between two checks of the flows' timers, a hundredth of the shortest timer. */
   public static final int STEP_MS = 2;
@@ -28,53 +32,68 @@
   private static final int FIRST_PORT = 2_000;
   private static final int LAST_PORT = 60_000;
 
+  /** The shortest time to a further attempt, from the platform's documentation. */
+  private static final long RETRY_DELAY_NS = TimeUnit.MILLISECONDS.toNanos(200);
+
   /** Length of a request's text; each request advances the flow's sequence by it. */
   private static final int REQUEST_BYTES = 10;
 
   /** The thread ends within one step of 2 ms; the rest allows for a busy machine. */
   private static final int JOIN_TIMEOUT_MS = 1_000;
 
-  private final int address;
+  private final List<String> addresses;
   private final Router router;
   private final Traffic traffic;
   private final ClientListener listener;
   private final IntFunction<StandInTarget> targetBySequence;
-  private final DatagramChannel channel;
+  private final List<DatagramChannel> channels = new ArrayList<>();
   private final Selector selector;
   private final Thread thread;
   private final Map<Integer, ClientFlow> flows = new HashMap<>();
   private volatile boolean closed;
   private volatile boolean hasOpenFlows;
+  private final Deque<Retry> retries = new ArrayDeque<>();
   private int nextPort = FIRST_PORT;
   private long nextRequest = 1;
 
+  /**
+   * A new flow that is due for a request that has not run.
+   *
+   * @param port port of the flow that has failed
+   */
+  private record Retry(long dueNs, FlowPlan plan, int port) {}
+
   /**
    * Creates clients that do not send until {@code start} is called.
    *
-   * @param address the clients' address
+   * @param addresses the clients' addresses, of which each flow has one
    * @param router selects the balancer for each packet
    * @param traffic the load that the clients generate
    * @param listener receives the clients' events
    * @param targetBySequence returns the target that accepts flows with a sequence number, or null
    *     if there is none
-   * @throws IOException if the address can't be bound
+   * @throws IOException if an address can't be bound
    */
   public FlowClients(
-      String address,
+      List<String> addresses,
       Router router,
       Traffic traffic,
       ClientListener listener,
       IntFunction<StandInTarget> targetBySequence)
       throws IOException {
-    this.address = Ipv4.number(address);
+    this.addresses = List.copyOf(addresses);
     this.router = router;
     this.traffic = traffic;
     this.listener = listener;
     this.targetBySequence = targetBySequence;
     this.selector = Selector.open();
-    this.channel = DatagramChannel.open().bind(new InetSocketAddress(address, Ports.CLIENT));
-    channel.configureBlocking(false);
-    channel.register(selector, SelectionKey.OP_READ);
+    for (String address : addresses) {
+      DatagramChannel channel =
+          DatagramChannel.open().bind(new InetSocketAddress(address, Ports.CLIENT));
+      channels.add(channel);
+      channel.configureBlocking(false);
+      channel.register(selector, SelectionKey.OP_READ);
+    }
     thread = new Thread(this::run, "clients");
     thread.setDaemon(true);
   }
@@ -109,7 +128,11 @@
   private void step() throws IOException {
     Optional<FlowPlan> plan = traffic.next(System.currentTimeMillis());
     if (plan.isPresent()) {
-      open(plan.get());
+      open(plan.get().firstAttempt(System.currentTimeMillis(), nextRequest++), takePort());
+    }
+    while (!retries.isEmpty() && System.nanoTime() - retries.peekFirst().dueNs() >= 0) {
+      Retry retry = retries.removeFirst();
+      open(retry.plan(), takePortLike(retry.port()));
     }
     for (Iterator<ClientFlow> all = flows.values().iterator(); all.hasNext(); ) {
       ClientFlow flow = all.next();
@@ -123,10 +146,29 @@
     hasOpenFlows = !flows.isEmpty();
   }
 
-  private void open(FlowPlan plan) throws IOException {
-    ClientFlow flow = new ClientFlow(nextPort, plan, System.nanoTime());
+  private int takePort() {
+    int port = nextPort;
     nextPort = nextPort == LAST_PORT ? FIRST_PORT : nextPort + 1;
+    return port;
+  }
+
+  /** Returns a port of the same address as another one, as clients retry from their address. */
+  private int takePortLike(int other) {
+    int port = takePort();
+    while (addressIndex(port) != addressIndex(other)) {
+      port = takePort();
+    }
+    return port;
+  }
+
+  private int addressIndex(int port) {
+    return port % addresses.size();
+  }
+
+  private void open(FlowPlan plan, int port) throws IOException {
+    ClientFlow flow = new ClientFlow(port, plan, System.nanoTime());
     flows.put(flow.port(), flow);
+    listener.onOpen(flow);
     sendOpening(flow);
   }
 
@@ -137,7 +179,7 @@
         sendOpening(flow);
       }
       case REQUEST -> {
-        flow.startRequest(nextRequest++, nowNs);
+        flow.startRequest(flow.isFirstRequestDue() ? flow.firstNumber() : nextRequest++, nowNs);
         listener.onRequest();
         sendRequest(flow);
       }
@@ -145,19 +187,24 @@
         flow.recordRetry(nowNs);
         sendRequest(flow);
       }
-      case GIVE_UP -> fail(flow);
+      case GIVE_UP -> fail(flow, !flow.isOpen());
       case END -> flow.end();
       default -> {}
     }
   }
 
-  private void fail(ClientFlow flow) {
+  private void fail(ClientFlow flow, boolean hasNotRun) {
     flow.end();
+    if (hasNotRun && flow.mayRetry()) {
+      retries.addLast(new Retry(System.nanoTime() + RETRY_DELAY_NS, flow.retryPlan(), flow.port()));
+    } else {
+      listener.onRequestEnd(flow, false);
+    }
     listener.onFailed(flow);
   }
 
   private Packets.End clientEndOf(ClientFlow flow) {
-    return new Packets.End(address, flow.port());
+    return new Packets.End(Ipv4.number(addresses.get(addressIndex(flow.port()))), flow.port());
   }
 
   private void sendOpening(ClientFlow flow) throws IOException {
@@ -175,26 +222,31 @@
     listener.onSend(packet);
     Optional<InetSocketAddress> balancer = router.balancerFor(flow.port());
     if (balancer.isPresent()) {
-      channel.send(packet, balancer.get());
+      channels.get(addressIndex(flow.port())).send(packet, balancer.get());
     }
   }
 
   private void receive(ByteBuffer packet) throws IOException {
-    packet.clear();
-    while (channel.receive(packet) != null) {
-      handle(packet.flip());
+    for (DatagramChannel channel : channels) {
       packet.clear();
+      while (channel.receive(packet) != null) {
+        handle(packet.flip());
+        packet.clear();
+      }
     }
   }
 
   private void handle(ByteBuffer packet) {
     ClientFlow flow = flows.get(Packets.destinationPort(packet));
     if (flow == null || flow.hasEnded()) {
+      if (Packets.isAccepted(packet)) {
+        listener.onLateAcceptance(Packets.destinationPort(packet));
+      }
       return;
     }
     if (Packets.isReset(packet)) {
       listener.onReset(flow);
-      fail(flow);
+      fail(flow, !flow.isOpen());
     } else if (Packets.isAccepted(packet)) {
       handleAcceptance(flow, targetBySequence.apply(Packets.sequence(packet)));
     } else {
@@ -223,6 +275,11 @@
       listener.onForeignResponse(flow, text);
     }
     if (response.isPresent() && flow.request() != 0 && response.get().request() == flow.request()) {
+      if (!response.get().hasRun()) {
+        fail(flow, true);
+        return;
+      }
+      listener.onRequestEnd(flow, true);
       listener.onServed(
           flow.recordResponse(REQUEST_BYTES, traffic.thinkTimeMs(), System.nanoTime()));
     }
@@ -237,7 +294,9 @@
   public void close() throws IOException, InterruptedException {
     closed = true;
     thread.join(JOIN_TIMEOUT_MS);
-    channel.close();
+    for (DatagramChannel channel : channels) {
+      channel.close();
+    }
     selector.close();
   }
 }
--- a/lab/src/main/java/io/moorstage/lab/client/RequestText.java
+++ b/lab/src/main/java/io/moorstage/lab/client/RequestText.java
@@ -7,15 +7,18 @@
  * the target's id.
  */
 public final class RequestText {
+  private static final String NOT_RUN = " not-run";
+
   private RequestText() {}
 
   /**
    * A parsed response.
    *
    * @param request number of the request
-   * @param targetId id of the target that has run the request
+   * @param targetId id of the target that has run or rejected the request
+   * @param hasRun whether the target has run the request
    */
-  public record Response(long request, String targetId) {}
+  public record Response(long request, String targetId, boolean hasRun) {}
 
   /** Returns a request's text; all have the same length, by which a flow's sequence advances. */
   static String request(long number) {
@@ -32,12 +35,18 @@
     return number + " " + targetId;
   }
 
+  /** Returns the text of the response of a target that has not run the request. */
+  public static String rejection(long number, String targetId) {
+    return response(number, targetId) + NOT_RUN;
+  }
+
   /** Parses a response; empty if the text is malformed. */
   static Optional<Response> parseResponse(String text) {
-    String[] parts = text.split(" ", -1);
+    boolean hasRun = !text.endsWith(NOT_RUN);
+    String[] parts = (hasRun ? text : text.replace(NOT_RUN, "")).split(" ", -1);
     if (parts.length != 2 || !parts[0].matches("\\d{1,18}")) {
       return Optional.empty();
     }
-    return Optional.of(new Response(Long.parseLong(parts[0]), parts[1]));
+    return Optional.of(new Response(Long.parseLong(parts[0]), parts[1], hasRun));
   }
 }
--- a/lab/src/main/java/io/moorstage/lab/demo/Demo.java
+++ b/lab/src/main/java/io/moorstage/lab/demo/Demo.java
@@ -60,7 +60,8 @@
     fleet = new DemoFleet(deployment, command, folder, monitor);
     traffic = new DemoTraffic(deployment.loadedRoutes(), new Random(SEED));
     router = new Router(fleet.balancers());
-    clients = new FlowClients(CLIENT_ADDRESS, router, traffic, clientListener, fleet::targetOf);
+    clients =
+        new FlowClients(List.of(CLIENT_ADDRESS), router, traffic, clientListener, fleet::targetOf);
   }
 
   /** Starts the fleet, runs the load and prints the table; returns the breaches. */
--- a/lab/src/main/java/io/moorstage/lab/edge/Packets.java
+++ b/lab/src/main/java/io/moorstage/lab/edge/Packets.java
@@ -99,9 +99,14 @@
     return packet(flags, from, to, sequence, ack, data);
   }
 
+  /** Returns a copy of a packet's bytes. */
+  public static ByteBuffer copyOf(ByteBuffer packet) {
+    return ByteBuffer.allocate(packet.remaining()).put(packet.duplicate()).flip();
+  }
+
   /** Returns a copy of a packet, marked as returned by a target that does not hold its flow. */
   public static ByteBuffer returned(ByteBuffer packet) {
-    ByteBuffer copy = ByteBuffer.allocate(packet.remaining()).put(packet.duplicate()).flip();
+    ByteBuffer copy = copyOf(packet);
     return copy.put(FLAGS_OFFSET, (byte) (copy.get(FLAGS_OFFSET) | BOUNCED));
   }
 
--- a/lab/src/main/java/io/moorstage/lab/edge/StoreJson.java
+++ b/lab/src/main/java/io/moorstage/lab/edge/StoreJson.java
@@ -144,6 +144,10 @@
     json.writeStringField("path_prefix", "/" + route.port() + "/");
     json.writeStringField("type", route.repeatable() ? "safe" : "unsafe");
     json.writeNumberField("timeout_ms", route.timeoutMs());
+    if (route.objectiveMs() > 0) {
+      json.writeNumberField("aim_ms", route.objectiveMs());
+      json.writeNumberField("priority", route.priority());
+    }
     writeBackends(json, route.services());
     json.writeEndObject();
   }
--- a/lab/src/main/java/io/moorstage/lab/process/Programs.java
+++ b/lab/src/main/java/io/moorstage/lab/process/Programs.java
@@ -21,6 +21,7 @@
   private final Path folder;
   private final String store;
   private final List<String> seeds;
+  private final List<String> furtherSettings;
   private final List<Process> processes = new ArrayList<>();
   private boolean closed;
 
@@ -33,10 +34,29 @@
    * @param seeds addresses of the balancers that each program has as seeds
    */
   public Programs(LaunchCommand command, Path folder, String store, List<String> seeds) {
+    this(command, folder, store, seeds, List.of());
+  }
+
+  /**
+   * Creates an instance without processes, all of which get further settings.
+   *
+   * @param command the command that starts a program
+   * @param folder the directory for settings files and logs
+   * @param store address of the store
+   * @param seeds addresses of the balancers that each program has as seeds
+   * @param furtherSettings lines of settings
+   */
+  public Programs(
+      LaunchCommand command,
+      Path folder,
+      String store,
+      List<String> seeds,
+      List<String> furtherSettings) {
     this.command = command;
     this.folder = folder;
     this.store = store;
     this.seeds = List.copyOf(seeds);
+    this.furtherSettings = List.copyOf(furtherSettings);
   }
 
   private List<String> settings(String address, String zone) {
@@ -52,6 +72,7 @@
     lines.add("node.seeds: " + String.join(":1,", seeds) + ":1");
     lines.add("source.address: " + store + ":" + Ports.STORE);
     lines.add("client.address: " + address + ":" + Ports.CLIENT);
+    lines.addAll(furtherSettings);
     return lines;
   }
 
--- a/lab/src/main/java/io/moorstage/lab/soak/FaultSoak.java
+++ b/lab/src/main/java/io/moorstage/lab/soak/FaultSoak.java
@@ -95,7 +95,7 @@
     this.router = new Router(SoakFleet.BALANCERS);
     this.clients =
         new FlowClients(
-            CLIENT_ADDRESS,
+            List.of(CLIENT_ADDRESS),
             router,
             new SoakTraffic(routes, new Random(seed + 1)),
             new MonitoringClientListener(monitor),
--- a/lab/src/test/java/io/moorstage/lab/client/FlowClientsTest.java
+++ b/lab/src/test/java/io/moorstage/lab/client/FlowClientsTest.java
@@ -76,7 +76,7 @@
     router = new Router(List.of(BALANCER));
     clients =
         new FlowClients(
-            CLIENTS,
+            List.of(CLIENTS),
             router,
             new SingleFlow(),
             new MonitoringClientListener(monitor),
