Watch rejections, urgency and idle targets under load

Cause: nothing checks from outside what docs/design/overload-and-unequal-targets.md states for overload. Change: LoadMonitor checks URGENT_WAITED, LATE_REJECTION, FALSE_REJECTION and IDLE_TARGET by what clients and targets report.

--- a/lab/src/main/java/io/moorstage/lab/monitor/Rule.java
+++ b/lab/src/main/java/io/moorstage/lab/monitor/Rule.java
@@ -22,6 +22,14 @@
   NO_RECOVERY,
   /** A process has ended although the harness did not stop it. */
   ENDED_BY_ITSELF,
+  /** A request of priority 1 is not served in time while most requests of priority 2 are. */
+  URGENT_WAITED,
+  /** Too many of the rejected openings are reset later than a quarter of their objective. */
+  LATE_REJECTION,
+  /** A target accepts a flow, or runs its request, although the opening was reset. */
+  FALSE_REJECTION,
+  /** A target has no request for too long while openings of its service are rejected. */
+  IDLE_TARGET,
   /** The harness itself has failed, which makes the results of the run invalid. */
   HARNESS
 }
--- a/lab/src/main/java/io/moorstage/lab/monitor/RuleMonitor.java
+++ b/lab/src/main/java/io/moorstage/lab/monitor/RuleMonitor.java
@@ -49,6 +49,13 @@
     lastFaultMs = Math.max(lastFaultMs, untilMs);
   }
 
+  /**
+   * Returns whether no fault has been present since {@link #PROPAGATION_LIMIT_MS} before a time.
+   */
+  public synchronized boolean isFreeOfFaultsSince(long sinceMs) {
+    return sinceMs - lastFaultMs > PROPAGATION_LIMIT_MS;
+  }
+
   /** Returns whether a change that was acknowledged at some time must have taken effect by now. */
   public synchronized boolean mustBeEffective(long acknowledgedAtMs, long nowMs) {
     return nowMs - Math.max(acknowledgedAtMs, lastFaultMs) > PROPAGATION_LIMIT_MS;
--- a/lab/src/main/java/io/moorstage/lab/monitor/WatchedTarget.java
+++ b/lab/src/main/java/io/moorstage/lab/monitor/WatchedTarget.java
@@ -6,19 +6,23 @@
 import io.moorstage.lab.targets.StandInTarget;
 import io.moorstage.lab.targets.TargetListener;
 import io.moorstage.lab.targets.TargetStart;
+import io.moorstage.lab.targets.TargetWork;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.concurrent.atomic.AtomicLong;
+import javax.annotation.Nullable;
 
 /** A target that reports its received packets, opened flows and run requests to the monitor. */
 public final class WatchedTarget implements AutoCloseable {
   private final TargetStart start;
   private final RuleMonitor monitor;
   private final ExpectedRoutes routes;
+  @Nullable private final LoadMonitor load;
   private final StandInTarget target;
   private final AtomicLong runs = new AtomicLong();
   private final AtomicLong lateOpenings = new AtomicLong();
   private volatile long noNewFlowsSinceMs = Long.MAX_VALUE;
+  private volatile long newFlowsSinceMs = System.currentTimeMillis();
 
   /**
    * Starts a target.
@@ -27,10 +31,28 @@
    */
   public WatchedTarget(TargetStart start, RuleMonitor monitor, ExpectedRoutes routes)
       throws IOException {
+    this(start, monitor, routes, null, null);
+  }
+
+  /**
+   * Starts a target whose requests take time.
+   *
+   * @param work the work of its requests; null if it answers each at once
+   * @param load also gets the run requests, unless it is null
+   * @throws IOException if one of its ports can't be bound
+   */
+  public WatchedTarget(
+      TargetStart start,
+      RuleMonitor monitor,
+      ExpectedRoutes routes,
+      @Nullable TargetWork work,
+      @Nullable LoadMonitor load)
+      throws IOException {
+    this.load = load;
     this.start = start;
     this.monitor = monitor;
     this.routes = routes;
-    this.target = new StandInTarget(start, new MonitoringListener());
+    this.target = new StandInTarget(start, new MonitoringListener(), work);
   }
 
   /** Returns the start of this target. */
@@ -49,6 +71,18 @@
    */
   public void setNoNewFlowsSince(long sinceMs) {
     noNewFlowsSinceMs = sinceMs;
+    newFlowsSinceMs = System.currentTimeMillis();
+  }
+
+  /** Sets the time since which this target may get new flows, in milliseconds since the epoch. */
+  void setNewFlowsSince(long sinceMs) {
+    newFlowsSinceMs = sinceMs;
+  }
+
+  /** Returns whether the target is alive and must be known everywhere to take new flows. */
+  boolean mustTakeNewFlows(long nowMs) {
+    boolean takesNewFlows = isAlive() && noNewFlowsSinceMs == Long.MAX_VALUE;
+    return takesNewFlows && monitor.mustBeEffective(newFlowsSinceMs, nowMs);
   }
 
   /** Returns whether the target has not been closed. */
@@ -81,6 +115,18 @@
       checkOpenedFlow(Packets.destination(packet), System.currentTimeMillis());
     }
 
+    @Override
+    public void onRun(ByteBuffer packet) {
+      if (load != null) {
+        load.recordRun(Packets.sourcePort(packet), start.id());
+      }
+    }
+
+    @Override
+    public String rejectRequest(String request) {
+      return RequestText.rejection(RequestText.numberOf(request), start.id());
+    }
+
     @Override
     public String runRequest(String request) {
       long number = RequestText.numberOf(request);
