Add load to the soak: unequal targets, priorities, bursts and overload control

Cause: the soak runs neither overload control nor targets of unequal speed. One burst after every 25 faults and one after the last is free of faults, since faults excuse nearly everything else.

--- a/lab/src/main/java/io/moorstage/lab/soak/FaultSoak.java
+++ b/lab/src/main/java/io/moorstage/lab/soak/FaultSoak.java
@@ -1,7 +1,10 @@
 package io.moorstage.lab.soak;
 
+import io.moorstage.lab.client.ClientListener;
 import io.moorstage.lab.client.FlowClients;
 import io.moorstage.lab.edge.StoreKeys;
+import io.moorstage.lab.monitor.LoadClientListener;
+import io.moorstage.lab.monitor.LoadMonitor;
 import io.moorstage.lab.monitor.MonitoringClientListener;
 import io.moorstage.lab.monitor.Rule;
 import io.moorstage.lab.monitor.RuleMonitor;
@@ -15,10 +18,12 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import javax.annotation.Nullable;
 
 /**
  * A soak test: runs three balancers and six agents as processes and injects faults at random times.
@@ -26,7 +31,22 @@
  * are scheduled, so that a run cannot be reproduced exactly.
  */
 public final class FaultSoak implements AutoCloseable {
-  private static final String CLIENT_ADDRESS = "127.78.9.1";
+  private static final String CLIENT_NETWORK = "127.78.9.";
+
+  /** Overload control orders requests by their client's address. */
+  private static final int LOAD_CLIENTS = 8;
+
+  /** One in so many faults of a soak with load also makes a target slow. */
+  private static final int ONE_IN_SLOW = 4;
+
+  private static final int MIN_SLOW_MS = 2_000;
+  private static final int SLOW_RANGE_MS = 3_000;
+
+  /** The number of faults between two bursts without faults, half a minute. */
+  private static final int FAULTS_PER_CALM = 25;
+
+  /** Covers the longest burst, and the retries of the requests that it rejects. */
+  private static final int CALM_BURST_MS = 8_000;
 
   /** Mean time between faults; shorter than a restart of a process, so that faults overlap. */
   private static final int MEAN_FAULT_INTERVAL_MS = 1_200;
@@ -69,6 +89,8 @@
   private final Router router;
   private final FlowClients clients;
   private final boolean storeRestores;
+  private final Random loadRandom;
+  @Nullable private final LoadTraffic loadTraffic;
   private StoreCopy copy;
 
   /** Addresses whose process was signalled to end and has not been restarted yet. */
@@ -85,23 +107,37 @@
    */
   public FaultSoak(long seed, SoakOptions options, LaunchCommand command, Path folder)
       throws IOException {
-    this.routes = new SoakRoutes(options.routeMoves());
+    this.routes = new SoakRoutes(options.routeMoves(), options.load());
     this.storeRestores = options.storeRestores();
     this.folder = Files.createDirectories(folder);
     this.random = new Random(seed);
     this.faults = new FaultSchedule(folder.resolve("faults.log"), monitor);
-    this.fleet = new SoakFleet(command, this.folder, monitor, routes, storeRestores);
+    this.fleet = new SoakFleet(command, this.folder, monitor, routes, options);
     this.copy = fleet.store().copy();
     this.router = new Router(SoakFleet.BALANCERS);
+    this.loadRandom = new Random(seed + 2);
+    SoakTraffic steady = new SoakTraffic(routes, new Random(seed + 1));
+    this.loadTraffic = options.load() ? new LoadTraffic(steady, new Random(seed + 3)) : null;
     this.clients =
         new FlowClients(
-            List.of(CLIENT_ADDRESS),
+            clientAddresses(options.load() ? LOAD_CLIENTS : 1),
             router,
-            new SoakTraffic(routes, new Random(seed + 1)),
-            new MonitoringClientListener(monitor),
+            loadTraffic == null ? steady : loadTraffic,
+            fleet
+                .loadMonitor()
+                .<ClientListener>map(load -> new LoadClientListener(monitor, load))
+                .orElseGet(() -> new MonitoringClientListener(monitor)),
             fleet::targetOf);
   }
 
+  private static List<String> clientAddresses(int count) {
+    List<String> addresses = new ArrayList<>();
+    for (int i = 1; i <= count; i++) {
+      addresses.add(CLIENT_NETWORK + i);
+    }
+    return addresses;
+  }
+
   /**
    * Starts the fleet and its clients.
    *
@@ -117,6 +153,7 @@
     long end = System.currentTimeMillis() + durationMs;
     boolean moveIsDue = false;
     int faultsSinceCopy = 0;
+    int faultsSinceCalm = 0;
     while (System.currentTimeMillis() < end) {
       Thread.sleep(MEAN_FAULT_INTERVAL_MS / 2 + random.nextInt(MEAN_FAULT_INTERVAL_MS));
       inject();
@@ -128,6 +165,15 @@
         restoreStore();
         faultsSinceCopy = 0;
       }
+      if (loadTraffic != null) {
+        slowDownSometimes();
+        if (++faultsSinceCalm == FAULTS_PER_CALM) {
+          liftEvacuations();
+          Thread.sleep(SETTLE_MS + RuleMonitor.PROPAGATION_LIMIT_MS);
+          overloadWithoutFaults();
+          faultsSinceCalm = 0;
+        }
+      }
     }
     if (storeRestores) {
       // No fault follows, so that the monitor checks this restore and drain against their limits.
@@ -138,12 +184,11 @@
     }
     Thread.sleep(SETTLE_MS);
     fleet.store().setMode(StoreMode.SERVING);
-    for (String zone : SoakFleet.ZONES) {
-      if (fleet.isEvacuated(zone)) {
-        toggleEvacuation(zone);
-      }
-    }
+    liftEvacuations();
     Thread.sleep(SETTLE_MS);
+    if (loadTraffic != null) {
+      overloadWithoutFaults();
+    }
     long servedBefore = monitor.servedCount();
     Thread.sleep(CHECK_MS);
     long served = monitor.servedCount() - servedBefore;
@@ -152,6 +197,39 @@
       monitor.recordBreach(Rule.NO_RECOVERY, "served " + served + " in " + CHECK_MS + " ms");
     }
     fleet.checkProcesses();
+    fleet.loadMonitor().ifPresent(LoadMonitor::checkAll);
+  }
+
+  private void liftEvacuations() throws IOException, InterruptedException {
+    for (String zone : SoakFleet.ZONES) {
+      if (fleet.isEvacuated(zone)) {
+        toggleEvacuation(zone);
+      }
+    }
+  }
+
+  /** Runs a burst of load that no fault excuses, in the middle of which a target becomes slow. */
+  private void overloadWithoutFaults() throws IOException, InterruptedException {
+    faults.runNow("burst without faults", () -> loadTraffic.startBurst(System.currentTimeMillis()));
+    Thread.sleep(CALM_BURST_MS / 2);
+    slowDown();
+    Thread.sleep(CALM_BURST_MS / 2);
+  }
+
+  private void slowDownSometimes() throws IOException, InterruptedException {
+    if (loadRandom.nextInt(ONE_IN_SLOW) == 0) {
+      slowDown();
+    }
+  }
+
+  private void slowDown() throws IOException, InterruptedException {
+    List<String> addresses = fleet.targetAddresses();
+    String address = addresses.get(loadRandom.nextInt(addresses.size()));
+    int durationMs = MIN_SLOW_MS + loadRandom.nextInt(SLOW_RANGE_MS);
+    WatchedTarget target = fleet.targetAt(address);
+    String description = "slow " + target.start().id() + " for " + durationMs + " ms";
+    long untilMs = System.currentTimeMillis() + durationMs;
+    faults.runNow(description, () -> target.target().slowDownUntil(untilMs));
   }
 
   private void inject() throws IOException, InterruptedException {
@@ -272,7 +350,7 @@
 
   /** Returns the numbers of served requests, failed flows and recorded faults in one line. */
   public String summary() {
-    return monitor.summary();
+    return monitor.summary() + fleet.loadMonitor().map(load -> " " + load.summary()).orElse("");
   }
 
   /** Stops everything that was started, and writes the breaches to {@code breaches.log}. */
--- a/lab/src/main/java/io/moorstage/lab/soak/SoakCommand.java
+++ b/lab/src/main/java/io/moorstage/lab/soak/SoakCommand.java
@@ -30,6 +30,9 @@
   @Parameter(names = "--restores", description = "Also restore the store from older copies")
   private boolean restores;
 
+  @Parameter(names = "--load", description = "Also overload targets of unequal speed")
+  private boolean load;
+
   @Parameter(names = "--jar", description = "Jar of the programs to run")
   private Path jar = Build.jar();
 
@@ -39,7 +42,8 @@
     Path folder = Build.output("soak").resolve("seed-" + usedSeed);
     System.out.println("soak seed=" + usedSeed + " minutes=" + minutes + " logs=" + folder);
     FaultSoak soak =
-        new FaultSoak(usedSeed, new SoakOptions(moves, restores), LaunchCommand.ofJar(jar), folder);
+        new FaultSoak(
+            usedSeed, new SoakOptions(moves, restores, load), LaunchCommand.ofJar(jar), folder);
     Thread shutdownHook = new Thread(() -> closeOnShutdown(soak), "end");
     Runtime.getRuntime().addShutdownHook(shutdownHook);
     try (soak) {
--- a/lab/src/main/java/io/moorstage/lab/soak/SoakFleet.java
+++ b/lab/src/main/java/io/moorstage/lab/soak/SoakFleet.java
@@ -2,6 +2,7 @@
 
 import io.moorstage.lab.edge.StoreJson;
 import io.moorstage.lab.edge.StoreKeys;
+import io.moorstage.lab.monitor.LoadMonitor;
 import io.moorstage.lab.monitor.Rule;
 import io.moorstage.lab.monitor.RuleMonitor;
 import io.moorstage.lab.monitor.WatchedTarget;
@@ -12,6 +13,7 @@
 import io.moorstage.lab.store.StandInStore;
 import io.moorstage.lab.targets.StandInTarget;
 import io.moorstage.lab.targets.TargetStart;
+import io.moorstage.lab.targets.TargetWork;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
@@ -20,6 +22,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import javax.annotation.Nullable;
 
@@ -36,9 +39,26 @@
   private static final int TARGETS_OF_TABLES = 4;
   private static final int TARGET_SLOTS = 4;
 
+  /** The slots of a target whose requests take time; a few, so that a burst fills them. */
+  private static final int LOADED_SLOTS = 2;
+
+  /** About what a target of the platform queues. */
+  private static final int QUEUE_LENGTH = 5;
+
+  /**
+   * With {@link #SPEEDS}, four targets serve 109 requests a second and two serve 69. Steady traffic
+   * is about half of that, so that the targets left can serve it when one is slow.
+   */
+  private static final int MEAN_WORK_MS = 70;
+
+  /** Speeds of the targets in turn, from the uneven-targets workload. */
+  private static final double[] SPEEDS = {0.7, 0.7, 1.7};
+
   private final RuleMonitor monitor;
   private final SoakRoutes routes;
+  private final SoakOptions options;
   private final boolean keepsIds;
+  @Nullable private final LoadMonitor load;
   private final StandInStore store;
   private final Programs programs;
   private final Map<String, Process> processes = new HashMap<>();
@@ -51,17 +71,25 @@
   /**
    * Creates a fleet and starts only its store.
    *
-   * @param keepsIds whether a restarted target keeps its id and lists its start time
+   * @param options with store restores, a restarted target keeps its id and lists its start time
    * @throws IOException if the store's address can't be bound
    */
   SoakFleet(
-      LaunchCommand command, Path folder, RuleMonitor monitor, SoakRoutes routes, boolean keepsIds)
+      LaunchCommand command,
+      Path folder,
+      RuleMonitor monitor,
+      SoakRoutes routes,
+      SoakOptions options)
       throws IOException {
-    this.keepsIds = keepsIds;
+    this.options = options;
+    this.keepsIds = options.storeRestores();
+    this.load =
+        options.load() ? new LoadMonitor(monitor, SoakRoutes::kindOf, this::currentTargets) : null;
     this.monitor = monitor;
     this.routes = routes;
     this.store = new StandInStore(new InetSocketAddress(STORE_ADDRESS, Ports.STORE));
-    this.programs = new Programs(command, folder, STORE_ADDRESS, BALANCERS);
+    List<String> settings = options.load() ? List.of("overload.control: on") : List.of();
+    this.programs = new Programs(command, folder, STORE_ADDRESS, BALANCERS, settings);
   }
 
   /** Starts all targets and programs, and waits until the balancers are ready. */
@@ -97,7 +125,7 @@
   /** Starts a target at an address and writes its entry to the store. */
   synchronized void startTarget(String service, String address, String zone) throws IOException {
     TargetStart start = nextStart(service, address, zone);
-    WatchedTarget target = new WatchedTarget(start, monitor, routes);
+    WatchedTarget target = new WatchedTarget(start, monitor, routes, workAt(address), load);
     targetsBySequence.put(start.sequence(), target.target());
     targets.removeIf(previous -> previous.start().address().equals(address));
     targets.add(target);
@@ -107,12 +135,31 @@
     store.put(StoreKeys.target(start.id()), start.entry(false));
   }
 
+  @Nullable
+  private TargetWork workAt(String address) {
+    if (!options.load()) {
+      return null;
+    }
+    int index = Integer.parseInt(address.substring(TARGET_NETWORK.length()));
+    return new TargetWork(LOADED_SLOTS, QUEUE_LENGTH, MEAN_WORK_MS / SPEEDS[index % SPEEDS.length]);
+  }
+
+  private synchronized List<WatchedTarget> currentTargets() {
+    return List.copyOf(targets);
+  }
+
+  /** Returns the monitor of the load, if there is one. */
+  Optional<LoadMonitor> loadMonitor() {
+    return Optional.ofNullable(load);
+  }
+
   private TargetStart nextStart(String service, String address, String zone) {
+    int slots = options.load() ? LOADED_SLOTS : TARGET_SLOTS;
     if (!keepsIds) {
-      return TargetStart.of("t" + startCount++, service, address, zone, TARGET_SLOTS);
+      return TargetStart.of("t" + startCount++, service, address, zone, slots);
     }
     String id = "t-" + address;
-    return TargetStart.of(id, service, address, zone, TARGET_SLOTS).at(System.currentTimeMillis());
+    return TargetStart.of(id, service, address, zone, slots).at(System.currentTimeMillis());
   }
 
   /** Marks a target as draining in the store. */
--- a/lab/src/main/java/io/moorstage/lab/soak/SoakOptions.java
+++ b/lab/src/main/java/io/moorstage/lab/soak/SoakOptions.java
@@ -7,8 +7,15 @@
  * @param routeMoves whether a route moves to the other service at every second fault
  * @param storeRestores whether the store is restored from an older copy of itself at every third
  *     fault and after the last one; restarted targets then keep their ids
+ * @param load whether requests take time at targets of unequal speed, the load at times exceeds
+ *     what these can serve, and overload control is on
  */
-public record SoakOptions(boolean routeMoves, boolean storeRestores) {
+public record SoakOptions(boolean routeMoves, boolean storeRestores, boolean load) {
   /** Only the faults that every soak injects. */
-  public static final SoakOptions PLAIN = new SoakOptions(false, false);
+  public static final SoakOptions PLAIN = new SoakOptions(false, false, false);
+
+  /** Creates options without load. */
+  public SoakOptions(boolean routeMoves, boolean storeRestores) {
+    this(routeMoves, storeRestores, false);
+  }
 }
--- a/lab/src/main/java/io/moorstage/lab/soak/SoakRoutes.java
+++ b/lab/src/main/java/io/moorstage/lab/soak/SoakRoutes.java
@@ -5,9 +5,11 @@
 import io.moorstage.core.state.WeightedService;
 import io.moorstage.lab.edge.StoreJson;
 import io.moorstage.lab.monitor.ExpectedRoutes;
+import io.moorstage.lab.monitor.RequestKind;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 /**
  * The routes of a soak: two permanent ones, one that is added and removed repeatedly, and, in some
@@ -18,7 +20,15 @@
   static final int BUNDLES = 0xC6120002;
   static final int INTERMITTENT = 0xC6120003;
   static final int MOVING = 0xC6120004;
+  static final int URGENT_TABLES = 0xC6120005;
+  static final int URGENT_BUNDLES = 0xC6120006;
   static final int PORT = 443;
+
+  /** Twice the longest work of a request at the slowest targets, except while they are slow. */
+  private static final int OBJECTIVE_MS = 600;
+
+  private static final int URGENT_PRIORITY = 1;
+  private static final int NORMAL_PRIORITY = 2;
   private static final int TIMEOUT_MS = 3_000;
   private static final int IDLE_TIMEOUT_MS = 60_000;
 
@@ -26,6 +36,7 @@
   private static final int VERSION_STEP = 3;
 
   private final boolean hasMoving;
+  private final boolean hasPriorities;
   private int version = 1;
   private boolean hasIntermittent;
   private long intermittentSinceMs = Long.MAX_VALUE;
@@ -37,9 +48,12 @@
    * Creates the routes.
    *
    * @param hasMoving whether there is a route that moves between services
+   * @param hasPriorities whether routes have an objective and a priority, and each service also has
+   *     a route of higher priority
    */
-  SoakRoutes(boolean hasMoving) {
+  SoakRoutes(boolean hasMoving, boolean hasPriorities) {
     this.hasMoving = hasMoving;
+    this.hasPriorities = hasPriorities;
   }
 
   boolean hasMoving() {
@@ -52,7 +66,21 @@
   }
 
   private static String serviceOf(int address) {
-    return address == BUNDLES ? "bundles" : "tables";
+    return address == BUNDLES || address == URGENT_BUNDLES ? "bundles" : "tables";
+  }
+
+  /** Returns the kind of the requests of a permanent route; empty for other routes. */
+  static Optional<RequestKind> kindOf(int address) {
+    return switch (address) {
+      case TABLES, BUNDLES, URGENT_TABLES, URGENT_BUNDLES ->
+          Optional.of(new RequestKind(serviceOf(address), priorityOf(address), OBJECTIVE_MS));
+      default -> Optional.empty();
+    };
+  }
+
+  private static int priorityOf(int address) {
+    boolean isUrgent = address == URGENT_TABLES || address == URGENT_BUNDLES;
+    return isUrgent ? URGENT_PRIORITY : NORMAL_PRIORITY;
   }
 
   /** Moves a route to the other service; returns the configuration to write. */
@@ -92,6 +120,10 @@
     List<ForwardingRoute> routes = new ArrayList<>();
     routes.add(route(TABLES, serviceOf(TABLES)));
     routes.add(route(BUNDLES, serviceOf(BUNDLES)));
+    if (hasPriorities) {
+      routes.add(route(URGENT_TABLES, serviceOf(URGENT_TABLES)));
+      routes.add(route(URGENT_BUNDLES, serviceOf(URGENT_BUNDLES)));
+    }
     if (hasIntermittent) {
       routes.add(route(INTERMITTENT, serviceOf(INTERMITTENT)));
     }
@@ -102,8 +134,12 @@
         new ForwardingConfiguration(version, IDLE_TIMEOUT_MS, routes, Map.of()));
   }
 
-  private static ForwardingRoute route(int address, String service) {
+  private ForwardingRoute route(int address, String service) {
     List<WeightedService> services = List.of(new WeightedService(service, 1));
-    return new ForwardingRoute(address, PORT, TIMEOUT_MS, false, services);
+    if (!hasPriorities) {
+      return new ForwardingRoute(address, PORT, TIMEOUT_MS, false, services);
+    }
+    return new ForwardingRoute(
+        address, PORT, TIMEOUT_MS, false, OBJECTIVE_MS, priorityOf(address), services);
   }
 }
