Make the conversion of times in LoadTraffic explicit

Cause: Error Prone rejects the implicit conversion from long to double in a full compilation (LongDoubleConversion). Change: an explicit cast, and a comment of StandInTarget says what happens to requests of a closed target. Result: a full compilation and LoadMonitorTest, WatchedTargetTest and FlowClientsTest pass.

--- a/lab/src/main/java/io/moorstage/lab/soak/LoadTraffic.java
+++ b/lab/src/main/java/io/moorstage/lab/soak/LoadTraffic.java
@@ -69,7 +69,7 @@
 
   // By time and not by the number of calls, since steps take longer than FlowClients.STEP_MS.
   private boolean isExtraFlowDue(long nowMs) {
-    extraFlowDueMs = Math.max(extraFlowDueMs, nowMs - MAX_DELAY_MS);
+    extraFlowDueMs = Math.max(extraFlowDueMs, (double) nowMs - MAX_DELAY_MS);
     boolean isDue = nowMs >= extraFlowDueMs;
     if (isDue) {
       extraFlowDueMs += MS_PER_S / EXTRA_FLOWS_PER_S;
--- a/lab/src/main/java/io/moorstage/lab/targets/StandInTarget.java
+++ b/lab/src/main/java/io/moorstage/lab/targets/StandInTarget.java
@@ -241,7 +241,7 @@
     String response = runNow(text, packet);
     boolean isSlow = System.currentTimeMillis() < slowUntilMs;
     long durationMs = work.drawMs(random) * (isSlow ? SLOWDOWN : 1);
-    // A task that fails after the target was closed has no one to report to.
+    // The result is not awaited; end() ignores requests of a target that was closed meanwhile.
     ScheduledFuture<?> unused =
         workers.schedule(() -> end(key, response, packet), durationMs, TimeUnit.MILLISECONDS);
   }
