--- a/lab/src/test/java/io/moorstage/lab/soak/FaultSoakTest.java
+++ b/lab/src/test/java/io/moorstage/lab/soak/FaultSoakTest.java
@@ -12,8 +12,8 @@
  * Guards against breaches of the rules under random faults. Runs the soak with fixed seeds, or,
  * with the properties {@code soak.seed} and {@code soak.minutes}, with one seed for a longer time.
  * {@code build-tools/soak} sets these properties, {@code soak.moves} for a route that moves between
- * services, and {@code soak.restores} for a store that is restored from older copies. Logs are kept
- * in {@code target/soak}.
+ * services, {@code soak.restores} for a store that is restored from older copies, and {@code
+ * soak.load} for overloaded targets of unequal speed. Logs are kept in {@code target/soak}.
  */
 class FaultSoakTest {
   /** Two seeds that have never failed, and those that have; docs/SOAK.md gives the causes. */
@@ -27,6 +27,9 @@
    */
   private static final long[] RESTORING_SEEDS = {41};
 
+  /** Seeds of the soaks with overloaded targets of unequal speed. */
+  private static final long[] LOADED_SEEDS = {51};
+
   private static final int SECONDS_PER_SEED = 25;
   private static final int MS_PER_S = 1_000;
   private static final int MS_PER_MINUTE = 60_000;
@@ -38,7 +41,10 @@
     if (seed != null) {
       int minutes = Integer.getInteger("soak.minutes", 1);
       SoakOptions options =
-          new SoakOptions(Boolean.getBoolean("soak.moves"), Boolean.getBoolean("soak.restores"));
+          new SoakOptions(
+              Boolean.getBoolean("soak.moves"),
+              Boolean.getBoolean("soak.restores"),
+              Boolean.getBoolean("soak.load"));
       runSoak(Long.parseLong(seed), options, minutes * MS_PER_MINUTE, breaches);
     } else {
       for (long fixedSeed : SEEDS) {
@@ -50,6 +56,10 @@
       for (long fixedSeed : RESTORING_SEEDS) {
         runSoak(fixedSeed, new SoakOptions(false, true), SECONDS_PER_SEED * MS_PER_S, breaches);
       }
+      for (long fixedSeed : LOADED_SEEDS) {
+        SoakOptions options = new SoakOptions(false, false, true);
+        runSoak(fixedSeed, options, SECONDS_PER_SEED * MS_PER_S, breaches);
+      }
     }
     assertWithMessage("broken").that(breaches).isEmpty();
   }
