Choose targets by expected time to completion where service times differ

Fast targets got 1.2 to 1.3 times the mean share of flows although their speed is 1.65 times the mean, since the choice compared only the numbers of requests. While the slowest tenth of a pool takes more than 1.4 times as long as the fastest, four candidates are compared by requests times service time. The agent reports the service time after 100 answers, and the number of open flows that its target holds. Core tests pass.

--- a/core/src/main/java/io/moorstage/core/agent/AgentFlow.java
+++ b/core/src/main/java/io/moorstage/core/agent/AgentFlow.java
@@ -74,6 +74,11 @@
   /** Whether either end has closed or broken off the flow. */
   private boolean closed;
 
+  /** Counts the flow while it is held; null if the flow is in no table. */
+  @Nullable private HeldFlowCount heldCount;
+
+  private boolean countedAsHeld;
+
   private AgentFlow(FlowId id, Stage stage, int openCopy, int balancerAddress, long nowMs) {
     this.id = id;
     this.stage = stage;
@@ -179,22 +184,26 @@
       stage = Stage.ACCEPTED;
     }
     targetDataSeen |= segment.dataBytes() > 0;
+    updateHeldCount();
   }
 
   /** Withdraws the flow: another target holds or may get it, so later responses are dropped. */
   void withdraw() {
     stage = Stage.WITHDRAWN;
     openSegment = null;
+    updateHeldCount();
   }
 
   /** Records that the target has lost the flow. */
   void markLost() {
     stage = Stage.LOST;
+    updateHeldCount();
   }
 
   /** Records that either end has closed or broken off the flow. */
   void markClosed() {
     closed = true;
+    updateHeldCount();
   }
 
   /** Discards the opening segment, so that an expired response timeout has no effect any more. */
@@ -202,6 +211,28 @@
     openSegment = null;
   }
 
+  /**
+   * Sets where the flow is counted while the target holds it and neither end has closed it.
+   *
+   * @param count the count of the table that the flow is added to, or null if it is removed
+   */
+  void setHeldCount(@Nullable HeldFlowCount count) {
+    if (countedAsHeld && heldCount != null) {
+      heldCount.add(-1);
+    }
+    countedAsHeld = false;
+    heldCount = count;
+    updateHeldCount();
+  }
+
+  private void updateHeldCount() {
+    boolean isHeld = stage == Stage.OPEN && !closed;
+    if (heldCount != null && isHeld != countedAsHeld) {
+      heldCount.add(isHeld ? 1 : -1);
+      countedAsHeld = isHeld;
+    }
+  }
+
   // ---- the request ----
 
   boolean isBusy() {
--- a/core/src/main/java/io/moorstage/core/agent/AgentFlows.java
+++ b/core/src/main/java/io/moorstage/core/agent/AgentFlows.java
@@ -26,6 +26,7 @@
   private final RetentionSettings retention;
   private final long startedAtMs;
   private final Map<FlowId, AgentFlow> flows = new HashMap<>();
+  private final HeldFlowCount held = new HeldFlowCount();
   private final PendingOpenings openings;
   private final RequestQueue requests;
 
@@ -58,6 +59,11 @@
     return flows.size();
   }
 
+  /** Returns the number of open flows that the target holds. */
+  int heldCount() {
+    return held.count();
+  }
+
   /** Returns a snapshot of all flows. */
   List<AgentFlow> all() {
     return List.copyOf(flows.values());
@@ -65,6 +71,7 @@
 
   void add(AgentFlow flow) {
     flows.put(flow.id(), flow);
+    flow.setHeldCount(held);
   }
 
   /** Adds a flow whose opening segment is being delivered to the target. */
@@ -91,6 +98,7 @@
   void remove(AgentFlow flow, long nowMs) {
     requests.drop(flow, nowMs);
     flow.clearOpening();
+    flow.setHeldCount(null);
     flows.remove(flow.id());
   }
 
@@ -134,6 +142,7 @@
       int retentionMs = flow.isClosed() ? retention.closedFlowMs() : retention.flowMs();
       if (nowMs - flow.lastUsedMs() > retentionMs) {
         requests.drop(flow, nowMs);
+        flow.setHeldCount(null);
         iterator.remove();
       }
     }
--- a/core/src/main/java/io/moorstage/core/agent/FlowAgent.java
+++ b/core/src/main/java/io/moorstage/core/agent/FlowAgent.java
@@ -7,6 +7,7 @@
 import io.moorstage.core.message.FlowQueryResult;
 import io.moorstage.core.message.ForwardTerms;
 import io.moorstage.core.message.GiveBackReason;
+import io.moorstage.core.message.SchedulingTerms;
 import io.moorstage.core.message.TargetReport;
 import io.moorstage.core.settings.ForwardingPolicy;
 import io.moorstage.core.state.TargetPhase;
@@ -22,6 +23,7 @@
   private final AgentFlows flows;
   private final ForwardedSegments forwardedSegments;
   private final TargetSegments targetSegments;
+  private long tickedAtMs;
 
   /**
    * Creates an agent without any flows.
@@ -35,6 +37,7 @@
   public FlowAgent(
       ForwardingPolicy policy, String service, AgentActions actions, DecisionLog log, long nowMs) {
     this.actions = actions;
+    this.tickedAtMs = nowMs;
     this.target = new AgentTarget(policy, service, log, nowMs);
     this.flows = new AgentFlows(policy, target, actions, log, nowMs);
     this.forwardedSegments = new ForwardedSegments(service, target, flows, actions, log);
@@ -107,9 +110,15 @@
     return flows.requests().busyFlows();
   }
 
-  /** Returns what the agent has measured of its target's capacity, and what it admits. */
+  /**
+   * Returns what the agent has measured of its target's capacity, as of the last tick, and what it
+   * admits.
+   */
   public synchronized CapacityReport capacityReport() {
-    return CapacityReport.UNKNOWN;
+    return new CapacityReport(
+        target.serviceTimes().reportedTenthsMs(tickedAtMs),
+        Math.min(flows.heldCount(), CapacityReport.MAX_VALUE),
+        SchedulingTerms.ADMIT_ALL);
   }
 
   /** Returns the number of flows that the agent has an entry for. */
@@ -160,6 +169,7 @@
 
   /** Handles expired timeouts and starts due checks; called every few tens of milliseconds. */
   public synchronized void onTick(long nowMs) {
+    tickedAtMs = nowMs;
     flows.giveBackOverdueOpenings(nowMs);
     AgentFlow oldest = flows.requests().oldest();
     if (oldest != null) {
--- a/core/src/main/java/io/moorstage/core/agent/ServiceTimeEstimator.java
+++ b/core/src/main/java/io/moorstage/core/agent/ServiceTimeEstimator.java
@@ -1,5 +1,6 @@
 package io.moorstage.core.agent;
 
+import io.moorstage.core.message.CapacityReport;
 import java.util.Arrays;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -16,8 +17,9 @@
  * data of the response. Work that ends without an answer adds its time but counts as no answer, so
  * that neither clients that leave nor a target that breaks off requests make the target look fast.
  *
- * <p>The estimate is a mean over the last {@link #WINDOW} answers. If most of the last {@link
- * #RECENT} requests took much longer or shorter than that mean, the window restarts with these.
+ * <p>The estimate is a mean over the last {@link #WINDOW} answers. If all but one of the last
+ * {@link #RECENT} requests took much longer or shorter than that mean, the window restarts with
+ * these.
  */
 final class ServiceTimeEstimator {
   /**
@@ -31,10 +33,13 @@
   static final int MIN_ANSWERS = 5;
 
   /** The last requests that show a change of the service time. */
-  private static final int RECENT = 5;
+  private static final int RECENT = 6;
 
-  /** How many of the last requests have to be slow, or fast, to show a change. */
-  private static final int RECENT_CHANGED = 4;
+  /**
+   * How many of the last requests have to be slow, or fast, to show a change. At steady speed this
+   * occurs once in a million answers; with 4 of 5 it would occur once in 70,000.
+   */
+  private static final int RECENT_CHANGED = 5;
 
   /** A request this many times as long as the mean is slow: 4% of requests at steady speed. */
   private static final double SLOW_FACTOR = 2.5;
@@ -54,6 +59,12 @@
    */
   private static final double OVERDUE_FACTOR = 10;
 
+  /**
+   * An answer in a shorter part of the mean time, or of the last mean of a full window if that is
+   * shorter, is a rejection: at steady speed 1 of 100,000 requests takes so short.
+   */
+  private static final double REJECTED_FACTOR = 0.1;
+
   private final Map<AgentFlow, Long> startedAtMs = new LinkedHashMap<>();
   private final Set<AgentFlow> queued = new LinkedHashSet<>();
   private final Samples window = new Samples(WINDOW);
@@ -61,6 +72,8 @@
   private int capacity;
   private double unansweredMs;
   private int answers;
+  private int rejectedInSequence;
+  private double steadyMeanMs;
 
   /** The last times in a ring, with their sum. */
   private static final class Samples {
@@ -106,6 +119,8 @@
     recent.clear();
     unansweredMs = 0;
     answers = 0;
+    rejectedInSequence = 0;
+    steadyMeanMs = 0;
   }
 
   /** Records that a flow's request has been delivered to the target. */
@@ -117,15 +132,33 @@
   /** Records that the target has answered a flow's request in progress. */
   void recordAnswer(AgentFlow flow, long nowMs) {
     Long started = startedAtMs.remove(flow);
-    // A request that the target has not started yet was rejected, rather than served.
+    boolean overtook = started == null && queued.remove(flow) && !startedAtMs.isEmpty();
+    if (overtook && !isRejected(nowMs - flow.busySinceMs())) {
+      // The target has served this request in place of one that arrived earlier.
+      started = startedAtMs.entrySet().iterator().next().setValue(nowMs);
+    }
     if (started != null) {
-      add(nowMs - started + unansweredMs);
-      unansweredMs = 0;
+      onAnswerAfter(nowMs - started);
     }
-    queued.remove(flow);
     startQueued(nowMs);
   }
 
+  private void onAnswerAfter(long timeMs) {
+    if (isRejected(timeMs)) {
+      unansweredMs += timeMs;
+      rejectedInSequence++;
+      return;
+    }
+    rejectedInSequence = 0;
+    add(timeMs + unansweredMs);
+    unansweredMs = 0;
+  }
+
+  private boolean isRejected(long timeMs) {
+    double steadyMs = steadyMeanMs == 0 ? window.mean() : steadyMeanMs;
+    return timeMs < REJECTED_FACTOR * Math.min(window.mean(), steadyMs);
+  }
+
   /** Records that a flow's request has ended, unless its answer was recorded. */
   void end(AgentFlow flow, long nowMs) {
     Long started = startedAtMs.remove(flow);
@@ -148,7 +181,8 @@
     boolean hasMean = answers >= MIN_ANSWERS;
     window.add(hasMean ? Math.min(timeMs, MAX_TIME_FACTOR * meanMs) : timeMs);
     answers++;
-    if (hasMean && recent.count == RECENT) {
+    steadyMeanMs = window.count == WINDOW ? window.mean() : steadyMeanMs;
+    if (hasMean && recent.count >= RECENT_CHANGED) {
       restartOnChange(SLOW_FACTOR * meanMs, FAST_FACTOR * meanMs);
     }
   }
@@ -156,15 +190,16 @@
   private void restartOnChange(double slowMs, double fastMs) {
     int slow = 0;
     int fast = 0;
-    for (double time : recent.times) {
-      slow += time > slowMs ? 1 : 0;
-      fast += time < fastMs ? 1 : 0;
+    for (int i = 0; i < recent.count; i++) {
+      slow += recent.times[i] > slowMs ? 1 : 0;
+      fast += recent.times[i] < fastMs ? 1 : 0;
     }
     if (Math.max(slow, fast) < RECENT_CHANGED) {
       return;
     }
     window.clear();
-    for (double time : recent.times) {
+    for (int i = 0; i < recent.count; i++) {
+      double time = recent.times[i];
       if (slow > fast ? time > slowMs : time < fastMs) {
         window.add(time);
       }
@@ -174,10 +209,11 @@
 
   /**
    * Returns the mean time for which the target works on a request, in milliseconds; 0 if fewer than
-   * {@link #MIN_ANSWERS} answers or no capacity are known.
+   * {@link #MIN_ANSWERS} answers or no capacity are known, or if the last {@link #WINDOW} answers
+   * were rejections.
    */
   double meanMs(long nowMs) {
-    if (answers < MIN_ANSWERS || capacity == 0) {
+    if (answers < MIN_ANSWERS || capacity == 0 || rejectedInSequence >= WINDOW) {
       return 0;
     }
     double meanMs = window.mean();
@@ -185,7 +221,26 @@
       return meanMs;
     }
     double oldestMs = nowMs - startedAtMs.values().iterator().next() + unansweredMs;
+    double slowMs = SLOW_FACTOR * meanMs;
+    double sumMs = oldestMs;
+    int slow = 1;
+    for (double time : recent.times) {
+      sumMs += time > slowMs ? time : 0;
+      slow += time > slowMs ? 1 : 0;
+    }
+    if (oldestMs > slowMs && slow >= RECENT_CHANGED) {
+      return sumMs / slow;
+    }
     double overdueMs = Math.max(0, oldestMs - OVERDUE_FACTOR * meanMs);
     return meanMs + overdueMs / RECENT;
   }
+
+  /**
+   * Returns the mean time as agents report it, in tenths of a millisecond; 0 before {@link #WINDOW}
+   * answers are known, as balancers compare it with those of other targets.
+   */
+  int reportedTenthsMs(long nowMs) {
+    long tenthsMs = Math.round(10 * meanMs(nowMs));
+    return answers < WINDOW ? 0 : (int) Math.min(tenthsMs, CapacityReport.MAX_VALUE);
+  }
 }
--- a/core/src/main/java/io/moorstage/core/placement/TargetChoice.java
+++ b/core/src/main/java/io/moorstage/core/placement/TargetChoice.java
@@ -21,6 +21,12 @@
  * highest ranked candidates in the balancer's own zone gets the flow if it has room. Otherwise the
  * less loaded of the two highest ranked candidates in all zones gets it.
  *
+ * <p>While the service times of the targets differ ({@link ServiceTimes}), four candidates are
+ * compared instead of two, since comparing two cannot send a fast target its full share, and by the
+ * expected time to completion instead of the load. Where flows are long, the expected load of the
+ * flows held counts as much as that time. A slow target gets flows for which it ranks first while
+ * it is idle, so that its agent notices when it has recovered.
+ *
  * <p>Comparing two candidates balances the load nearly as well as comparing all (Mitzenmacher,
  * 2001). Since the two depend only on the flow, the zone and the set of candidates, a balancer that
  * has lost its flow table has to consider only a few targets to locate a flow. Without the
@@ -47,12 +53,32 @@
   /** Half of the slots of a target of the own zone stay free on average, to absorb bursts. */
   private static final double MAX_OWN_ZONE_UTILIZATION = 0.5;
 
+  /** Candidates that are compared. */
+  private static final int CHOICES = 2;
+
+  /** Candidates that are compared while the service times differ. */
+  private static final int CHOICES_BY_TIME = 4;
+
+  /** How long computed service times are used: the shortest interval between an agent's reports. */
+  private static final int SERVICE_TIMES_VALID_MS = 100;
+
+  /**
+   * An idle target this many times as slow as the mean gets flows for which it ranks first. At a
+   * third of the mean's speed it answers 3 requests in about 300 ms.
+   */
+  private static final double PROBED_FACTOR = 2.0;
+
+  /** A target of the own zone has room for long flows up to this multiple of the mean held. */
+  private static final double MAX_OWN_ZONE_HELD = 1.2;
+
   private final String zone;
   private final boolean prefersOwnZone;
   private final boolean comparesTwo;
   private final boolean avoidsSuspects;
   private final int reportValidMs;
   private final double slowStartFactor;
+  private final boolean usesServiceTimes;
+  private volatile ServiceTimes cachedTimes = ServiceTimes.UNKNOWN;
 
   /**
    * Creates the rule of one balancer.
@@ -67,6 +93,7 @@
     this.avoidsSuspects = policy.uses(Mechanism.SUSPICION);
     this.reportValidMs = policy.uses(Mechanism.LOAD_REPORTS) ? REPORT_VALID_MS : REPORTS_IGNORED_MS;
     this.slowStartFactor = policy.uses(Mechanism.SLOW_START) ? SLOW_START_FACTOR : 1.0;
+    this.usesServiceTimes = policy.uses(Mechanism.SERVICE_TIMES);
   }
 
   /**
@@ -115,8 +142,11 @@
 
   @Nullable
   private TargetSlot chooseAmong(CandidateFilter filter, List<TargetSlot> slots, long nowMs) {
-    HighestTwo ofOwnZone = new HighestTwo(filter.flowHash());
-    HighestTwo ofAll = new HighestTwo(filter.flowHash());
+    ServiceTimes times = serviceTimes(slots, nowMs);
+    boolean byTime = usesServiceTimes && times.differ();
+    int choices = !comparesTwo ? 1 : byTime ? CHOICES_BY_TIME : CHOICES;
+    HighestRanked ofOwnZone = new HighestRanked(filter.flowHash(), choices);
+    HighestRanked ofAll = new HighestRanked(filter.flowHash(), choices);
     for (TargetSlot slot : slots) {
       if (!filter.isCandidate(slot, nowMs)) {
         continue;
@@ -126,9 +156,28 @@
         ofOwnZone.add(slot);
       }
     }
-    TargetSlot local = lessLoaded(ofOwnZone, nowMs);
-    boolean staysInZone = prefersOwnZone && local != null && hasRoom(local, nowMs);
-    return staysInZone ? local : lessLoaded(ofAll, nowMs);
+    TargetSlot local = cheapest(ofOwnZone, byTime ? times : null, nowMs);
+    boolean staysInZone =
+        prefersOwnZone
+            && local != null
+            && hasRoom(local, nowMs)
+            && !(byTime && holdsMoreThanOthers(local, times, nowMs));
+    return staysInZone ? local : cheapest(ofAll, byTime ? times : null, nowMs);
+  }
+
+  /** Returns the pool's service times, which are computed again when they are old. */
+  ServiceTimes serviceTimes(List<TargetSlot> slots, long nowMs) {
+    ServiceTimes times = cachedTimes;
+    if (nowMs - times.computedAtMs() >= SERVICE_TIMES_VALID_MS) {
+      times = ServiceTimes.of(slots, reportValidMs, nowMs);
+      cachedTimes = times;
+    }
+    return times;
+  }
+
+  private boolean holdsMoreThanOthers(TargetSlot slot, ServiceTimes times, long nowMs) {
+    return times.areFlowsLong()
+        && heldMs(slot, times, nowMs) > MAX_OWN_ZONE_HELD * times.meanHeldMs();
   }
 
   private boolean hasRoom(TargetSlot slot, long nowMs) {
@@ -136,13 +185,55 @@
         && slot.averageUtilization() <= MAX_OWN_ZONE_UTILIZATION;
   }
 
+  /**
+   * Returns the candidate with the lowest cost, the highest ranked one of several, or null if there
+   * is none. The cost is the load if the service times do not differ.
+   *
+   * @param times the pool's service times if they differ, otherwise null
+   */
   @Nullable
-  private TargetSlot lessLoaded(HighestTwo two, long nowMs) {
-    if (two.second == null || !comparesTwo) {
-      return two.first;
+  private TargetSlot cheapest(HighestRanked ranked, @Nullable ServiceTimes times, long nowMs) {
+    TargetSlot best = ranked.slots[0];
+    if (times != null && best != null && isToBeProbed(best, times, nowMs)) {
+      return best;
     }
-    boolean isSecondLessLoaded = weightedLoad(two.second, nowMs) < weightedLoad(two.first, nowMs);
-    return isSecondLessLoaded ? two.second : two.first;
+    double lowest = Double.POSITIVE_INFINITY;
+    for (int i = 0; i < ranked.count; i++) {
+      TargetSlot slot = ranked.slots[i];
+      double cost = times == null ? weightedLoad(slot, nowMs) : costByTime(slot, times, nowMs);
+      if (cost < lowest) {
+        lowest = cost;
+        best = slot;
+      }
+    }
+    return best;
+  }
+
+  // Without its flows no agent would notice that a target has recovered.
+  private boolean isToBeProbed(TargetSlot slot, ServiceTimes times, long nowMs) {
+    boolean isIdle = slot.load(reportValidMs, nowMs) * slot.record().capacity() <= 1;
+    boolean holdsLongFlows = times.areFlowsLong() && slot.heldLoad(reportValidMs, nowMs) > 0;
+    return isIdle
+        && !holdsLongFlows
+        && slot.serviceTimeMs(reportValidMs, nowMs) > PROBED_FACTOR * times.meanMs();
+  }
+
+  private double costByTime(TargetSlot slot, ServiceTimes times, long nowMs) {
+    double completionMs = weightedLoad(slot, nowMs) * timeMs(slot, times, nowMs);
+    if (!times.areFlowsLong()) {
+      return completionMs;
+    }
+    return completionMs / times.meanCompletionMs()
+        + heldMs(slot, times, nowMs) / times.meanHeldMs();
+  }
+
+  private double heldMs(TargetSlot slot, ServiceTimes times, long nowMs) {
+    return slot.heldLoad(reportValidMs, nowMs) * timeMs(slot, times, nowMs);
+  }
+
+  private double timeMs(TargetSlot slot, ServiceTimes times, long nowMs) {
+    double reportedMs = slot.serviceTimeMs(reportValidMs, nowMs);
+    return reportedMs > 0 ? reportedMs : times.meanMs();
   }
 
   private double weightedLoad(TargetSlot slot, long nowMs) {
@@ -150,27 +241,35 @@
     return slot.isCold(nowMs) ? load * slowStartFactor : load;
   }
 
-  /** Collects the two highest ranked targets for a flow. */
-  private static final class HighestTwo {
+  /** Collects the highest ranked targets for a flow, in the order of their ranks. */
+  private static final class HighestRanked {
     private final long flowHash;
-    @Nullable private TargetSlot first;
-    @Nullable private TargetSlot second;
+    private final TargetSlot[] slots;
+    private final long[] ranks;
+    private int count;
 
-    private HighestTwo(long flowHash) {
+    private HighestRanked(long flowHash, int size) {
       this.flowHash = flowHash;
+      this.slots = new TargetSlot[size];
+      this.ranks = new long[size];
     }
 
     private void add(TargetSlot slot) {
-      if (first == null || ranksHigher(slot, first)) {
-        second = first;
-        first = slot;
-      } else if (second == null || ranksHigher(slot, second)) {
-        second = slot;
+      long rank = slot.rank(flowHash);
+      int index = count;
+      while (index > 0 && Long.compareUnsigned(rank, ranks[index - 1]) > 0) {
+        index--;
       }
-    }
-
-    private boolean ranksHigher(TargetSlot slot, TargetSlot other) {
-      return Long.compareUnsigned(slot.rank(flowHash), other.rank(flowHash)) > 0;
+      if (index == slots.length) {
+        return;
+      }
+      count = Math.min(count + 1, slots.length);
+      for (int i = count - 1; i > index; i--) {
+        slots[i] = slots[i - 1];
+        ranks[i] = ranks[i - 1];
+      }
+      slots[index] = slot;
+      ranks[index] = rank;
     }
   }
 }
--- a/core/src/main/java/io/moorstage/core/placement/TargetPool.java
+++ b/core/src/main/java/io/moorstage/core/placement/TargetPool.java
@@ -19,6 +19,9 @@
   /** How many targets of its zone, and how many of all zones, a new flow chooses from. */
   private static final int CHOICES = 2;
 
+  /** The same while the service times differ; see {@link TargetChoice}. */
+  private static final int CHOICES_BY_TIME = 4;
+
   /**
    * How many targets a new flow may have been given to: the highest ranked ones of the balancer's
    * zone and the highest ranked ones of all zones.
@@ -115,9 +118,19 @@
     return choice.choose(slots, flow, tried, mostAreEjected(nowMs), nowMs);
   }
 
+  /**
+   * Returns how much the service times of the targets differ: that of the slowest tenth divided by
+   * that of the fastest tenth; 1 while they are not known.
+   */
+  public double serviceTimeSpread(long nowMs) {
+    return choice.serviceTimes(slots, nowMs).spread();
+  }
+
   /**
    * Returns targets in the order in which a search queries them for a flow whose target is unknown:
-   * first the two highest ranked ones in the balancer's zone, then all others by rank.
+   * first the two highest ranked ones in the balancer's zone, then the two highest ranked others,
+   * then the next two in the balancer's zone, then all others by rank. With service times that
+   * differ, the holder of a flow is thus in the second round of a search at the latest.
    */
   public static List<TargetSlot> byLikelihood(
       Collection<TargetSlot> targets, String balancerZone, FlowId flow) {
@@ -125,11 +138,18 @@
     List<TargetSlot> ranked = new ArrayList<>(targets);
     ranked.sort((a, b) -> Long.compareUnsigned(b.rank(flowHash), a.rank(flowHash)));
     Set<TargetSlot> ordered = new LinkedHashSet<>();
+    List<TargetSlot> ofOwnZone =
+        ranked.stream()
+            .filter(slot -> slot.record().zone().equals(balancerZone))
+            .limit(CHOICES_BY_TIME)
+            .toList();
+    ordered.addAll(ofOwnZone.subList(0, Math.min(CHOICES, ofOwnZone.size())));
     for (TargetSlot slot : ranked) {
-      if (slot.record().zone().equals(balancerZone) && ordered.size() < CHOICES) {
+      if (ordered.size() < LIKELY_TARGETS) {
         ordered.add(slot);
       }
     }
+    ordered.addAll(ofOwnZone);
     ordered.addAll(ranked);
     return List.copyOf(ordered);
   }
--- a/core/src/main/java/io/moorstage/core/placement/TargetSlot.java
+++ b/core/src/main/java/io/moorstage/core/placement/TargetSlot.java
@@ -250,6 +250,30 @@
     return (busyFlows + 1.0) / record.capacity();
   }
 
+  /**
+   * Returns the time for which the target works on a request, in milliseconds; 0 if its agent has
+   * not reported it, or the report is stale.
+   *
+   * @param reportValidMs the age in milliseconds above which a report is stale
+   */
+  double serviceTimeMs(int reportValidMs, long nowMs) {
+    return capacityReport(reportValidMs, nowMs).serviceTimeTenthsMs() / 10.0;
+  }
+
+  /**
+   * Returns the open flows of the target for each of its slots: those that its agent has reported
+   * and those that this balancer has added since, or only this balancer's own if the report is
+   * stale.
+   *
+   * @param reportValidMs the age in milliseconds above which a report is stale
+   */
+  double heldLoad(int reportValidMs, long nowMs) {
+    boolean isReportValid = nowMs - capacityReportedAtMs <= reportValidMs;
+    int flows =
+        isReportValid ? capacityReport.heldFlows() + placedSinceReport.get() : activeFlows.get();
+    return (double) flows / record.capacity();
+  }
+
   /** Returns the share of the target's slots in use, as a moving average of its agent's reports. */
   public double averageUtilization() {
     return averageBusyFlows / record.capacity();
--- a/core/src/main/java/io/moorstage/core/settings/Mechanism.java
+++ b/core/src/main/java/io/moorstage/core/settings/Mechanism.java
@@ -15,6 +15,11 @@
    * Load is taken from reports of agents, not just from the flows that this balancer has placed.
    */
   LOAD_REPORTS("load-reports"),
+  /**
+   * While the service times of a service's targets differ, a new flow goes to the target of four
+   * that is expected to answer first.
+   */
+  SERVICE_TIMES("service-times"),
   /** A request waits at its agent while the target is at its limit of concurrent requests. */
   GATE("gate"),
   /** The newest waiting request goes first while the oldest one has waited too long. */
--- a/core/src/test/java/io/moorstage/core/agent/ServiceTimeEstimatorTest.java
+++ b/core/src/test/java/io/moorstage/core/agent/ServiceTimeEstimatorTest.java
@@ -18,6 +18,7 @@
 
   private AgentFlow begin() {
     AgentFlow flow = AgentFlow.held(Fleet.flow(nextPort++), nowMs);
+    flow.beginRequest(nowMs);
     estimator.begin(flow, nowMs);
     return flow;
   }
@@ -73,6 +74,31 @@
     assertThat(estimator.meanMs(nowMs)).isAtLeast(20.0);
   }
 
+  // Otherwise a target that answers requests with errors at once attracts all others.
+  @Test
+  void targetThatOnlyRejectsRequestsHasNoEstimate() {
+    serve(100, 20);
+    serve(99, 1);
+    assertThat(estimator.meanMs(nowMs)).isWithin(0.01).of(20);
+    serve(1, 1);
+    assertThat(estimator.meanMs(nowMs)).isZero();
+    serve(1, 20);
+    assertThat(estimator.meanMs(nowMs)).isAtLeast(20.0);
+  }
+
+  // Otherwise a target that does not serve in order of arrival looks slower than it is.
+  @Test
+  void requestThatOvertakesAnotherCountsAsServedInItsPlace() {
+    AgentFlow first = begin();
+    for (int i = 0; i < 50; i++) {
+      AgentFlow second = begin();
+      nowMs += 20;
+      answer(second);
+    }
+    answer(first);
+    assertThat(estimator.meanMs(nowMs)).isWithin(0.5).of(20);
+  }
+
   @Test
   void targetThatStopsAnsweringLooksSlowBeforeItsNextAnswer() {
     serve(100, 20);
