--- a/core/src/main/java/io/moorstage/core/agent/AgentFlows.java
+++ b/core/src/main/java/io/moorstage/core/agent/AgentFlows.java
@@ -27,6 +27,7 @@
   private final RetentionSettings retention;
   private final long startedAtMs;
   private final Map<FlowId, AgentFlow> flows = new HashMap<>();
+  private final HeldFlowCount held = new HeldFlowCount();
   private final PendingOpenings openings;
   private final RequestQueue requests;
 
@@ -43,7 +44,7 @@
     this.retention = policy.retention();
     this.startedAtMs = nowMs;
     this.openings = new PendingOpenings(policy.opening().responseTimeoutMs());
-    this.requests = new RequestQueue(policy, serviceMs, this::deliver);
+    this.requests = new RequestQueue(policy, target.serviceTimes(), serviceMs, this::deliver);
   }
 
   /** Returns the requests of all flows. */
@@ -60,6 +61,11 @@
     return flows.size();
   }
 
+  /** Returns the number of open flows that the target holds. */
+  int heldCount() {
+    return held.count();
+  }
+
   /** Returns a snapshot of all flows. */
   List<AgentFlow> all() {
     return List.copyOf(flows.values());
@@ -67,6 +73,7 @@
 
   void add(AgentFlow flow) {
     flows.put(flow.id(), flow);
+    flow.setHeldCount(held);
   }
 
   /** Adds a flow whose opening segment is being delivered to the target. */
@@ -93,6 +100,7 @@
   void remove(AgentFlow flow, long nowMs) {
     requests.drop(flow, nowMs);
     flow.clearOpening();
+    flow.setHeldCount(null);
     flows.remove(flow.id());
   }
 
@@ -143,6 +151,7 @@
     for (AgentFlow flow : expired) {
       // The drop of another flow may have replaced the entry by that of a new opening.
       flows.remove(flow.id(), flow);
+      flow.setHeldCount(null);
       requests.drop(flow, nowMs);
     }
     requests.admissionQueue().sweep(nowMs);
--- a/core/src/main/java/io/moorstage/core/agent/FlowAgent.java
+++ b/core/src/main/java/io/moorstage/core/agent/FlowAgent.java
@@ -24,7 +24,7 @@
   private final AgentFlows flows;
   private final ForwardedSegments forwardedSegments;
   private final TargetSegments targetSegments;
-  private long lastTickMs;
+  private long tickedAtMs;
 
   /**
    * Creates an agent without any flows.
@@ -54,9 +54,9 @@
       @Nullable LongToDoubleFunction serviceMs,
       long nowMs) {
     this.actions = actions;
-    this.lastTickMs = nowMs;
+    this.tickedAtMs = nowMs;
     this.target = new AgentTarget(policy, service, log, nowMs);
-    LongToDoubleFunction measuredMs = unused -> target.meanResponseMs();
+    LongToDoubleFunction measuredMs = target.serviceTimes()::meanMs;
     this.flows =
         new AgentFlows(
             policy, target, actions, log, serviceMs == null ? measuredMs : serviceMs, nowMs);
@@ -150,10 +150,15 @@
     return flows.requests().waitingRequests();
   }
 
-  /** Returns what the agent has measured of its target's capacity, and what it admits. */
+  /**
+   * Returns what the agent has measured of its target's capacity, and what it admits, as of the
+   * last tick.
+   */
   public synchronized CapacityReport capacityReport() {
-    int admittedRank = flows.requests().admissionQueue().admittedRank(lastTickMs);
-    return new CapacityReport(0, 0, admittedRank);
+    return new CapacityReport(
+        target.serviceTimes().reportedTenthsMs(tickedAtMs),
+        Math.min(flows.heldCount(), CapacityReport.MAX_VALUE),
+        flows.requests().admissionQueue().admittedRank(tickedAtMs));
   }
 
   /** Returns the number of flows that the agent has an entry for. */
@@ -204,7 +209,7 @@
 
   /** Handles expired timeouts and starts due checks; called every few tens of milliseconds. */
   public synchronized void onTick(long nowMs) {
-    lastTickMs = nowMs;
+    tickedAtMs = nowMs;
     flows.giveBackOverdueOpenings(nowMs);
     AgentFlow oldest = flows.requests().oldest();
     if (oldest != null) {
--- a/core/src/main/java/io/moorstage/core/agent/RequestQueue.java
+++ b/core/src/main/java/io/moorstage/core/agent/RequestQueue.java
@@ -40,6 +40,7 @@
   private final RequestGate gate;
   private final boolean overloadControl;
   private final AdmissionQueue admissionQueue;
+  private final ServiceTimeEstimator serviceTimes;
   private final Delivery delivery;
   private int waitingFlows;
 
@@ -52,16 +53,22 @@
   /**
    * Creates a queue without requests.
    *
+   * @param serviceTimes is told when requests begin and end at the target
    * @param serviceMs the mean time that the target works on a request, at a time in milliseconds; 0
    *     if not known
    */
-  RequestQueue(ForwardingPolicy policy, LongToDoubleFunction serviceMs, Delivery delivery) {
+  RequestQueue(
+      ForwardingPolicy policy,
+      ServiceTimeEstimator serviceTimes,
+      LongToDoubleFunction serviceMs,
+      Delivery delivery) {
     this.queueingEnabled = policy.uses(Mechanism.GATE);
     this.minTimeoutMs = MIN_TIMEOUT_TO_WAIT_RATIO * policy.requests().maxWaitMs();
     this.staleAfterMs = policy.requests().staleAfterMs();
     this.gate = new RequestGate(policy, 0);
     this.overloadControl = policy.overload().enabled();
     this.admissionQueue = new AdmissionQueue(serviceMs, gate::inProgress);
+    this.serviceTimes = serviceTimes;
     this.delivery = delivery;
   }
 
@@ -224,6 +231,7 @@
       admissionQueue.expected().remove(flow);
       flow.beginRequest(nowMs);
       gate.addInProgress(flow);
+      serviceTimes.begin(flow, nowMs);
     }
   }
 
@@ -237,6 +245,7 @@
     }
     flow.endRequest();
     gate.removeInProgress();
+    serviceTimes.end(flow, nowMs);
     admissionQueue.startWaiting(nowMs);
     releaseNext(nowMs);
   }
--- a/core/src/main/java/io/moorstage/core/placement/TargetSlot.java
+++ b/core/src/main/java/io/moorstage/core/placement/TargetSlot.java
@@ -37,6 +37,8 @@
    */
   private static final int MAX_REPORT_INTERVAL_MS = 1_000;
 
+  private static final double TENTHS_PER_MS = 10;
+
   private volatile TargetRecord record;
   private volatile boolean evacuated;
   private final long hash;
@@ -54,6 +56,7 @@
   private volatile CapacityReport capacityReport = CapacityReport.UNKNOWN;
   private volatile long capacityReportedAtMs = NEVER;
   private volatile int admittedRankValidMs = ADMITTED_RANK_VALID_MS;
+  private volatile double averageServiceTimeMs;
 
   /** Creates the slot of a target that has just been listed, or whose agent has just appeared. */
   public TargetSlot(TargetRecord record, long nowMs) {
@@ -167,6 +170,10 @@
   /** Records what the agent reports of the target's capacity. */
   public void recordCapacity(CapacityReport report, long nowMs) {
     admittedRankValidMs = admittedRankValidity(nowMs - capacityReportedAtMs);
+    double reportedMs = report.serviceTimeTenthsMs() / TENTHS_PER_MS;
+    boolean continues = averageServiceTimeMs > 0 && reportedMs > 0;
+    double weight = continues ? Math.min(1, (nowMs - capacityReportedAtMs) / AVERAGING_MS) : 1;
+    averageServiceTimeMs += weight * (reportedMs - averageServiceTimeMs);
     capacityReport = report;
     capacityReportedAtMs = nowMs;
   }
@@ -282,6 +289,58 @@
     return (busyFlows + 1.0) / record.capacity();
   }
 
+  /**
+   * Returns the time for which the target works on a request, in milliseconds; 0 if its agent has
+   * not reported it, or the report is stale.
+   *
+   * @param reportValidMs the age in milliseconds above which a report is stale
+   */
+  double serviceTimeMs(int reportValidMs, long nowMs) {
+    return capacityReport(reportValidMs, nowMs).serviceTimeTenthsMs() / TENTHS_PER_MS;
+  }
+
+  /**
+   * Returns the service time as a moving average of its reports, in milliseconds; 0 if it is not
+   * known. A single long request hardly changes it.
+   *
+   * @param reportValidMs the age in milliseconds above which a report is stale
+   */
+  double averageServiceTimeMs(int reportValidMs, long nowMs) {
+    return nowMs - capacityReportedAtMs <= reportValidMs ? averageServiceTimeMs : 0;
+  }
+
+  /**
+   * Returns the load as {@link #load} does, but lets the reported part approach the target's
+   * average as the report ages: other balancers have placed requests since, and the target has
+   * answered some.
+   *
+   * @param fadingMs the age at which the difference to the average has shrunk to a third
+   */
+  double expectedLoad(int reportValidMs, double fadingMs, long nowMs) {
+    long ageMs = nowMs - reportedAtMs;
+    if (ageMs > reportValidMs) {
+      return load(reportValidMs, nowMs);
+    }
+    double reported = (double) reportedBusyFlows / record.capacity();
+    double average = averageUtilization();
+    double expected = average + (reported - average) * Math.exp(-ageMs / fadingMs);
+    return expected + (placedSinceReport.get() + 1.0) / record.capacity();
+  }
+
+  /**
+   * Returns the open flows of the target for each of its slots: those that its agent has reported
+   * and those that this balancer has added since, or only this balancer's own if the report is
+   * stale.
+   *
+   * @param reportValidMs the age in milliseconds above which a report is stale
+   */
+  double heldLoad(int reportValidMs, long nowMs) {
+    boolean isReportValid = nowMs - capacityReportedAtMs <= reportValidMs;
+    int flows =
+        isReportValid ? capacityReport.heldFlows() + placedSinceReport.get() : activeFlows.get();
+    return (double) flows / record.capacity();
+  }
+
   /** Returns the share of the target's slots in use, as a moving average of its agent's reports. */
   public double averageUtilization() {
     return averageBusyFlows / record.capacity();
--- a/forwarding/src/main/java/io/moorstage/forwarding/daemon/AgentDaemon.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/daemon/AgentDaemon.java
@@ -98,6 +98,8 @@
     metrics.gauge(ForwardingGauge.WAITING_OPENINGS, agent::waitingOpenings);
     metrics.gauge(ForwardingGauge.WAITING_REQUESTS, agent::waitingRequests);
     metrics.gauge(ForwardingGauge.ADMITTED_RANK, () -> agent.capacityReport().admittedRank());
+    metrics.gauge(
+        ForwardingGauge.SERVICE_TIME_US, () -> 100L * agent.capacityReport().serviceTimeTenthsMs());
     metrics.gauge(ForwardingGauge.BALANCERS, () -> balancers.liveCount(MonotonicClock.nowMs()));
     metrics.gauge(ForwardingGauge.STATE_REVISION, () -> Revision.count(copy.revision()));
     metrics.gauge(ForwardingGauge.STATE_ERA, () -> Revision.era(copy.revision()));
--- a/forwarding/src/main/java/io/moorstage/forwarding/daemon/BalancerDaemon.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/daemon/BalancerDaemon.java
@@ -148,6 +148,9 @@
     metrics.gauge(
         ForwardingGauge.ADMISSION_LEVEL,
         () -> balancer.lowestAdmissionLevel(MonotonicClock.nowMs()));
+    metrics.gauge(
+        ForwardingGauge.SERVICE_TIME_SPREAD_PERCENT,
+        () -> Math.round(100 * balancer.serviceTimeSpread(MonotonicClock.nowMs())));
     metrics.gauge(ForwardingGauge.UNUSABLE_ITEMS, source::unusableItems);
     metrics.gauge(ForwardingGauge.ANSWERS_WITHOUT_ERA, source::responsesWithoutEra);
     metrics.gauge(ForwardingGauge.LINES_LEFT_OUT, log::droppedLines);
--- a/forwarding/src/main/java/io/moorstage/forwarding/metrics/ForwardingGauge.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/metrics/ForwardingGauge.java
@@ -19,6 +19,11 @@
   ADMISSION_LEVEL(
       "Balancer: lowest admission level of all services: new flows of a higher rank are reset; 65535"
           + " if all are admitted."),
+  SERVICE_TIME_US(
+      "Agent: mean time for which its target works on a request, in microseconds; 0 if not known."),
+  SERVICE_TIME_SPREAD_PERCENT(
+      "Balancer: mean service time of a service's slowest tenth of targets, in percent of that of"
+          + " the fastest tenth; the largest of all services."),
   UNUSABLE_ITEMS("Items of the source skipped so far because they could not be read."),
   ANSWERS_WITHOUT_ERA("Responses of the source so far without a readable era."),
   LINES_LEFT_OUT("Log lines dropped so far due to the limits per second or a full queue.");
