Derive the validity of admitted ranks from the requested interval

Cause: the validity followed the measured gap between two reports, so that one lost report lengthened the validity of the next one. Gaps above 1,000 ms counted as a failure and gave 500 ms, so that from about 98 agents on, where a balancer requests longer intervals, reports were expired half of the time.

Change: the daemon passes the interval that it requests to FlowBalancer with each regular beacon. A report is valid for 1.5 times that interval, at least 750 ms: agents report an unchanged load every 500 ms and check every 20 ms.

--- a/core/src/main/java/io/moorstage/core/balancer/FlowBalancer.java
+++ b/core/src/main/java/io/moorstage/core/balancer/FlowBalancer.java
@@ -35,6 +35,12 @@
    */
   private static final int EARLY_SEGMENT_TTL_MS = 1_000;
 
+  /**
+   * The interval of agents' reports, in milliseconds, until {@link #setReportInterval} is called:
+   * the period of beacons of an agent whose load does not change.
+   */
+  private static final int INITIAL_REPORT_INTERVAL_MS = 500;
+
   private final ForwardingPolicy policy;
   private final BalancerActions actions;
   private final BalancerTables tables;
@@ -42,6 +48,7 @@
   private final FlowLocator locator;
   private final boolean buffersEarlySegments;
   private final List<EarlySegment> earlySegments = new ArrayList<>();
+  private int reportIntervalMs = INITIAL_REPORT_INTERVAL_MS;
 
   /** A client segment that arrived before the first configuration. */
   private record EarlySegment(Segment segment, byte[] datagram, long receivedAtMs) {}
@@ -97,6 +104,14 @@
     tables.setOrderPeriod(period);
   }
 
+  /**
+   * Sets the interval of reports that this balancer requests of its agents, in milliseconds. The
+   * validity of the admitted ranks in further reports follows from it.
+   */
+  public synchronized void setReportInterval(int intervalMs) {
+    reportIntervalMs = intervalMs;
+  }
+
   /** Records until when the configuration source has confirmed the state as current. */
   public synchronized void onConfirmed(long untilMs) {
     opener.onConfirmed(untilMs);
@@ -126,7 +141,7 @@
 
   private void updateSlot(TargetSlot slot, AgentReport report, long nowMs) {
     slot.recordBusyFlows(report.busyFlows(), nowMs);
-    slot.recordCapacity(report.capacityReport(), nowMs);
+    slot.recordCapacity(report.capacityReport(), reportIntervalMs, nowMs);
     slot.markAgentSeen(nowMs);
     slot.recordEjection(report.targetEjected(), policy.opening().suspicionMs(), nowMs);
     if (report.stopping() || report.targetEnded()) {
--- a/core/src/main/java/io/moorstage/core/placement/TargetSlot.java
+++ b/core/src/main/java/io/moorstage/core/placement/TargetSlot.java
@@ -25,17 +25,11 @@
   private static final double AVERAGING_MS = 2_000;
 
   /**
-   * An agent that has stopped must not keep openings rejected for longer. The value covers four
-   * missing reports at an interval of 100 ms, but none at 500 ms, the interval that a balancer
-   * requests of 50 agents.
+   * The shortest validity of an admitted rank, in milliseconds. It covers the 500 ms after which an
+   * agent reports an unchanged load, and the 20 ms at which the agent checks whether a report is
+   * due. A longer one would let an agent that has stopped keep openings rejected for longer.
    */
-  private static final int ADMITTED_RANK_VALID_MS = 500;
-
-  /**
-   * The longest interval of reports that extends the validity, in milliseconds. A longer one is a
-   * failure of the agent or the network.
-   */
-  private static final int MAX_REPORT_INTERVAL_MS = 1_000;
+  private static final int MIN_ADMITTED_RANK_VALID_MS = 750;
 
   private static final double TENTHS_PER_MS = 10;
 
@@ -55,7 +49,7 @@
   private volatile long agentLastSeenMs = NEVER;
   private volatile CapacityReport capacityReport = CapacityReport.UNKNOWN;
   private volatile long capacityReportedAtMs = NEVER;
-  private volatile int admittedRankValidMs = ADMITTED_RANK_VALID_MS;
+  private volatile int admittedRankValidMs = MIN_ADMITTED_RANK_VALID_MS;
   private volatile double averageServiceTimeMs;
 
   /** Creates the slot of a target that has just been listed, or whose agent has just appeared. */
@@ -167,9 +161,13 @@
     reportedAtMs = nowMs;
   }
 
-  /** Records what the agent reports of the target's capacity. */
-  public void recordCapacity(CapacityReport report, long nowMs) {
-    admittedRankValidMs = admittedRankValidity(nowMs - capacityReportedAtMs);
+  /**
+   * Records what the agent reports of the target's capacity.
+   *
+   * @param reportIntervalMs the interval of reports that the balancer requests, in milliseconds
+   */
+  public void recordCapacity(CapacityReport report, int reportIntervalMs, long nowMs) {
+    admittedRankValidMs = admittedRankValidity(reportIntervalMs);
     double reportedMs = report.serviceTimeTenthsMs() / TENTHS_PER_MS;
     boolean continues = averageServiceTimeMs > 0 && reportedMs > 0;
     double weight = continues ? Math.min(1, (nowMs - capacityReportedAtMs) / AVERAGING_MS) : 1;
@@ -179,11 +177,10 @@
   }
 
   // The interval that a balancer requests of its agents grows with their number: 500 ms for 50 of
-  // them. With a validity of 500 ms, a replay of 10,613 rejected openings took 6,741 messages.
-  private static int admittedRankValidity(long reportIntervalMs) {
-    return reportIntervalMs > MAX_REPORT_INTERVAL_MS
-        ? ADMITTED_RANK_VALID_MS
-        : Math.max(ADMITTED_RANK_VALID_MS, (int) (reportIntervalMs + reportIntervalMs / 2));
+  // them. With a validity of 500 ms, a replay of 10,613 rejected openings took 6,741 messages. The
+  // measured gap between two reports is not used, since a lost report lengthens it.
+  private static int admittedRankValidity(int reportIntervalMs) {
+    return Math.max(MIN_ADMITTED_RANK_VALID_MS, reportIntervalMs + reportIntervalMs / 2);
   }
 
   /**
--- a/forwarding/src/main/java/io/moorstage/forwarding/daemon/BalancerDaemon.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/daemon/BalancerDaemon.java
@@ -221,6 +221,7 @@
       balancer.setOrderPeriod(orderPeriod());
       balancer.onTick(nowMs);
       if (beaconTimer.restartIfDue(BalancerBeacons.PERIOD_MS, nowMs)) {
+        balancer.setReportInterval(beacons.reportIntervalMs(nowMs));
         beacons.sendRegular(keeper.state(), nowMs);
       }
       if (sweepTimer.restartIfDue(MainLoop.SWEEP_MS, nowMs)) {
--- a/forwarding/src/main/java/io/moorstage/forwarding/peer/BalancerBeacons.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/peer/BalancerBeacons.java
@@ -182,9 +182,11 @@
     send(peer, state, reportIntervalMs(nowMs), nowMs);
   }
 
-  // Each agent reports at most once within this interval, so that all agents together send at most
-  // MAX_REPORTS_PER_S.
-  private int reportIntervalMs(long nowMs) {
+  /**
+   * Returns the interval of load reports that beacons sent now request of each agent, in
+   * milliseconds. All agents together then send at most {@link #MAX_REPORTS_PER_S}.
+   */
+  public int reportIntervalMs(long nowMs) {
     return activeAgentCount.applyAsInt(nowMs) * MS_PER_S / MAX_REPORTS_PER_S;
   }
 
