Renew the client order of accepted flows with each period

Cause: a flow kept the client order of its opening for life, so that a client with a late order was last in every overload for up to 60 s.

Change: an opening keeps its order while it is under way. A flow that a target has accepted gets the order of a new period with its next segment. The terms stay cached; a segment takes one more comparison, and a flow 8 more bytes. Without overload control the terms are not created again.

Tests: the test that a flow keeps its order covered openings and accepted flows, and is split: openings still keep it, accepted flows get the new one (failed before). The test of a clock that jumps back is divided in the same way. Two tests check that terms are not created for each segment.

--- a/core/src/main/java/io/moorstage/core/balancer/BalancerFlow.java
+++ b/core/src/main/java/io/moorstage/core/balancer/BalancerFlow.java
@@ -56,6 +56,9 @@
   private boolean targetResponded;
   @Nullable private ForwardTerms terms;
 
+  /** The period of the client order in the terms. */
+  private long orderPeriod;
+
   private boolean overridesEjection;
   private Search.Stage stage = IDLE;
 
@@ -135,8 +138,14 @@
     return terms;
   }
 
-  void setTerms(ForwardTerms newTerms) {
+  /** Returns the number of the period whose client order the terms contain. */
+  long orderPeriod() {
+    return orderPeriod;
+  }
+
+  void setTerms(ForwardTerms newTerms, long newOrderPeriod) {
     terms = newTerms;
+    orderPeriod = newOrderPeriod;
   }
 
   /** Records that the client has sent a segment. */
--- a/core/src/main/java/io/moorstage/core/balancer/BalancerTables.java
+++ b/core/src/main/java/io/moorstage/core/balancer/BalancerTables.java
@@ -152,12 +152,13 @@
     String service = target.record().service();
     boolean isCurrent = known != null && known.configurationVersion() == version;
     if (isCurrent
+        && keepsOrder(flow)
         && known.overridesEjection() == flow.overridesEjection()
         && known.service().equals(service)) {
       return known;
     }
     ForwardTerms terms = newTermsOf(flow, service, configuration);
-    flow.setTerms(terms);
+    flow.setTerms(terms, keepsOrder(flow) ? flow.orderPeriod() : orderPeriod);
     return terms;
   }
 
@@ -178,32 +179,37 @@
 
   /** Sets the number of the current period of the order of clients. */
   void setOrderPeriod(long period) {
-    orderPeriod = period;
+    // Without overload control the terms do not contain the order, and need not be created again.
+    if (policy.overload().enabled()) {
+      orderPeriod = period;
+    }
   }
 
   /**
    * Returns the rank of a flow's requests under the current configuration, as in the terms of its
-   * segments. The client order is that of the terms last sent, or of the current period if none
-   * were sent.
+   * segments. The client order of an opening is that of the terms last sent, if any; otherwise it
+   * is that of the current period.
    */
   int rankOf(BalancerFlow flow) {
     return schedulingOf(flow, state.configuration().routeOf(flow.id())).rank();
   }
 
   private SchedulingTerms schedulingOf(BalancerFlow flow, @Nullable ForwardingRoute route) {
-    SchedulingTerms known = flow.terms() == null ? null : flow.terms().scheduling();
-    // A request that waits at an agent keeps its place in the order when a period ends.
-    int clientOrder =
-        known == null
-            ? ClientOrder.of(flow.id().clientAddress(), orderPeriod)
-            : known.clientOrder();
+    long period = keepsOrder(flow) ? flow.orderPeriod() : orderPeriod;
     return new SchedulingTerms(
         route == null ? 0 : route.objectiveMs(),
         route == null ? SchedulingTerms.LOWEST_PRIORITY : route.priority(),
-        clientOrder,
+        ClientOrder.of(flow.id().clientAddress(), period),
         zoneKey);
   }
 
+  // An opening keeps its place in the order while targets are tried. An accepted flow, which may
+  // live for 60 s, gets the order of each period, so that its client is not last in all of them.
+  private boolean keepsOrder(BalancerFlow flow) {
+    return flow.orderPeriod() == orderPeriod
+        || (flow.terms() != null && !flow.hasTargetResponded());
+  }
+
   /**
    * Returns whether targets of a service may be sent a segment of a flow whose target is unknown:
    * the flow's route has the service, or had it when the flow may have been opened.
