Keep the priority of an opening whose route is removed

Cause: if a route was removed while an opening waited at an agent, the rank of the opening was that of the lowest priority, so that it was reset as overloaded although a target would admit it.

Change: without a route, the priority and objective of the terms last sent apply, also to further segments. FlowOpener.place computes the rank once.

Tests: openingKeepsItsPriorityAndObjectiveIfItsRouteIsRemovedWhileItWaits failed before.

--- a/core/src/main/java/io/moorstage/core/balancer/BalancerTables.java
+++ b/core/src/main/java/io/moorstage/core/balancer/BalancerTables.java
@@ -187,8 +187,9 @@
 
   /**
    * Returns the rank of a flow's requests under the current configuration, as in the terms of its
-   * segments. The client order of an opening is that of the terms last sent, if any; otherwise it
-   * is that of the current period.
+   * segments. If the flow's route has been removed, the priority is that of the terms last sent.
+   * The client order of an opening is that of the terms last sent, if any; otherwise it is that of
+   * the current period.
    */
   int rankOf(BalancerFlow flow) {
     return schedulingOf(flow, state.configuration().routeOf(flow.id())).rank();
@@ -196,11 +197,15 @@
 
   private SchedulingTerms schedulingOf(BalancerFlow flow, @Nullable ForwardingRoute route) {
     long period = keepsOrder(flow) ? flow.orderPeriod() : orderPeriod;
-    return new SchedulingTerms(
-        route == null ? 0 : route.objectiveMs(),
-        route == null ? SchedulingTerms.LOWEST_PRIORITY : route.priority(),
-        ClientOrder.of(flow.id().clientAddress(), period),
-        zoneKey);
+    int clientOrder = ClientOrder.of(flow.id().clientAddress(), period);
+    if (route != null) {
+      return new SchedulingTerms(route.objectiveMs(), route.priority(), clientOrder, zoneKey);
+    }
+    // The route may be removed while an opening waits or the flow is open: the last terms apply.
+    SchedulingTerms last = flow.terms() == null ? null : flow.terms().scheduling();
+    return last == null
+        ? new SchedulingTerms(0, SchedulingTerms.LOWEST_PRIORITY, clientOrder, zoneKey)
+        : new SchedulingTerms(last.objectiveMs(), last.priority(), clientOrder, zoneKey);
   }
 
   // An opening keeps its place in the order while targets are tried. An accepted flow, which may
--- a/core/src/main/java/io/moorstage/core/balancer/FlowOpener.java
+++ b/core/src/main/java/io/moorstage/core/balancer/FlowOpener.java
@@ -164,11 +164,12 @@
   private void place(
       BalancerFlow flow, Segment segment, ByteBuffer datagram, String reason, long nowMs) {
     TargetPool pool = tables.candidatesOf(flow.service(), nowMs);
-    if (pool != null && retries.isOverloaded(flow, pool, nowMs)) {
+    int rank = retries.rankOf(flow);
+    if (pool != null && retries.isOverloaded(flow, pool, rank, nowMs)) {
       rejectOverloaded(flow, segment, nowMs);
       return;
     }
-    TargetSlot chosen = pool == null ? null : retries.chooseTarget(flow, pool, nowMs);
+    TargetSlot chosen = pool == null ? null : retries.chooseTarget(flow, pool, rank, nowMs);
     if (chosen == null) {
       waitOrReject(flow, segment, datagram, nowMs);
       return;
--- a/core/src/main/java/io/moorstage/core/balancer/OpeningRetries.java
+++ b/core/src/main/java/io/moorstage/core/balancer/OpeningRetries.java
@@ -92,18 +92,23 @@
     this.tables = tables;
   }
 
+  /** Returns the rank of a flow's opening; 0 without overload control, which does not use it. */
+  int rankOf(BalancerFlow flow) {
+    return overload.enabled() ? tables.rankOf(flow) : 0;
+  }
+
   /**
    * Chooses the next target of an opening.
    *
    * @param pool the candidates of the flow's service
+   * @param rank the rank of the opening, as {@link #rankOf} returns it
    * @return the target, or null if there is no candidate
    */
   @Nullable
-  TargetSlot chooseTarget(BalancerFlow flow, TargetPool pool, long nowMs) {
+  TargetSlot chooseTarget(BalancerFlow flow, TargetPool pool, int rank, long nowMs) {
     if (!overload.enabled()) {
       return pool.choose(flow.id(), flow.tried(), nowMs);
     }
-    int rank = tables.rankOf(flow);
     return flow.isRejectedAsOverloaded()
         ? pool.leastLoaded(flow.id(), flow.tried(), rank, nowMs)
         : pool.choose(flow.id(), flow.tried(), rank, nowMs);
@@ -113,9 +118,11 @@
    * Returns whether an opening is rejected as overload although there may be candidates left.
    *
    * @param pool the candidates of the flow's service
+   * @param rank the rank of the opening, as {@link #rankOf} returns it
    */
-  boolean isOverloaded(BalancerFlow flow, TargetPool pool, long nowMs) {
-    return overload.enabled() && (hasReachedMaxPlacements(flow) || isAboveLevel(flow, pool, nowMs));
+  boolean isOverloaded(BalancerFlow flow, TargetPool pool, int rank, long nowMs) {
+    return overload.enabled()
+        && (hasReachedMaxPlacements(flow) || isAboveLevel(flow, pool, rank, nowMs));
   }
 
   private boolean hasReachedMaxPlacements(BalancerFlow flow) {
@@ -126,8 +133,8 @@
 
   // The level does not apply to an opening that a target may accept through an earlier copy: it
   // must not be reset, and without a further placement its client would wait in vain.
-  private boolean isAboveLevel(BalancerFlow flow, TargetPool pool, long nowMs) {
-    return !flow.mayHaveBeenAccepted(nowMs) && !level.admits(pool, tables.rankOf(flow), nowMs);
+  private boolean isAboveLevel(BalancerFlow flow, TargetPool pool, int rank, long nowMs) {
+    return !flow.mayHaveBeenAccepted(nowMs) && !level.admits(pool, rank, nowMs);
   }
 
   /**
--- a/core/src/test/java/io/moorstage/core/balancer/AdmissionFailuresTest.java
+++ b/core/src/test/java/io/moorstage/core/balancer/AdmissionFailuresTest.java
@@ -10,6 +10,7 @@
 import io.moorstage.core.state.TargetPhase;
 import io.moorstage.core.state.TargetRecord;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 
@@ -148,6 +149,22 @@
         .isEqualTo(ClientOrder.of(FLOW.clientAddress(), -1));
   }
 
+  /** Guards against a reset as overloaded of an opening that a target would admit. */
+  @Test
+  void openingKeepsItsPriorityAndObjectiveIfItsRouteIsRemovedWhileItWaits() {
+    fixture.updateState(1, PRIORITY, target(A), target(B), target(C));
+    reportAll(RANK, A, B, C);
+    fixture.send(OPENING);
+    SchedulingTerms terms = fixture.lastForwarded().terms().scheduling();
+    int first = fixture.lastForwarded().address();
+    fixture.balancer.onState(
+        Fleet.state(2, 2, List.of(), List.of(target(A), target(B), target(C))), fixture.nowMs);
+    fixture.giveBack(first, GiveBackReason.OVERLOADED, OPENING);
+    assertThat(fixture.reset).isEmpty();
+    assertThat(fixture.forwarded).hasSize(2);
+    assertThat(fixture.lastForwarded().terms().scheduling()).isEqualTo(terms);
+  }
+
   @Test
   void priorityThatTheConfigurationLowersAppliesToAnOpeningThatIsPlacedAgain() {
     fixture.updateState(1, PRIORITY, target(A), target(B), target(C));
