Report an ejection to balancers only until a probe is due

The agent reported its target as ejected until a probe succeeded, and balancers send no flows to a target that is reported as ejected, so that no probe came. An agent with outlier-refusal off never counted a flow as the probe and could not end an ejection at all.

The report now says ejected only while each new flow would be rejected: during the ejection, while a probe is pending, and with overload control while the target has no place for a probe. With outlier-refusal off, the first flow once a probe is due is the probe. Flows that override the ejection are none, as before.

In the one that simulates a balancer with a report each 100 ms and an opening each 5 ms, the probe comes within 200 ms after it is due and at most 3 openings are given back as UNFIT.

--- a/core/src/main/java/io/moorstage/core/agent/AdmissionQueue.java
+++ b/core/src/main/java/io/moorstage/core/agent/AdmissionQueue.java
@@ -78,7 +78,8 @@
     return hasPlace(nowMs);
   }
 
-  private boolean hasPlace(long nowMs) {
+  /** Returns whether the target has a place now. */
+  boolean hasPlace(long nowMs) {
     return capacity == 0 || admitted(nowMs) < capacity + SPARE_PLACES;
   }
 
--- a/core/src/main/java/io/moorstage/core/agent/AgentTarget.java
+++ b/core/src/main/java/io/moorstage/core/agent/AgentTarget.java
@@ -51,11 +51,20 @@
     return admission;
   }
 
-  /** Returns whether balancers are to send the target no new flows. */
+  /** Returns whether the target is ejected or being probed. */
   boolean isEjected() {
     return reportsOutliers && outliers.isEjected();
   }
 
+  /**
+   * Returns whether balancers are to send the target no new flows because of an ejection.
+   *
+   * @param hasPlace whether an opening would be delivered at once
+   */
+  boolean isClosedByEjection(boolean hasPlace, long nowMs) {
+    return reportsOutliers && admission.isClosedByEjection(hasPlace, nowMs);
+  }
+
   /** Returns the mean time from a request to its response, in milliseconds; 0 if not known. */
   double meanResponseMs() {
     return liveness.meanResponseMs();
--- a/core/src/main/java/io/moorstage/core/agent/FlowAgent.java
+++ b/core/src/main/java/io/moorstage/core/agent/FlowAgent.java
@@ -122,10 +122,12 @@
   }
 
   /**
-   * Returns whether the target is ejected because it broke off requests or did not respond to them.
+   * Returns whether the target gets no new flows, as of the last tick, because it broke off
+   * requests or did not respond to them. Once a probe is due this is false, so that balancers send
+   * one.
    */
   public synchronized boolean isTargetEjected() {
-    return target.isEjected();
+    return target.isClosedByEjection(flows.requests().hasPlace(tickedAtMs), tickedAtMs);
   }
 
   /** Returns whether checks have found that the target's process has ended. */
--- a/core/src/main/java/io/moorstage/core/agent/OpeningAdmission.java
+++ b/core/src/main/java/io/moorstage/core/agent/OpeningAdmission.java
@@ -118,12 +118,25 @@
     if (!coldLimit.tryAdmit(terms.coldOpeningsPerS(), nowMs)) {
       return GiveBackReason.COLD;
     }
-    if (respectsEjection) {
+    // Without the rejection of outliers too: otherwise no flow would end an ejection.
+    if (!terms.overridesEjection() && outliers.mayAdmit(terms.repeatable(), nowMs)) {
       outliers.startProbe(nowMs);
     }
     return null;
   }
 
+  /**
+   * Returns whether an ejection rejects all openings that arrive now, also one that would be the
+   * probe.
+   *
+   * @param hasPlace whether an opening would be delivered at once; an ejected target gets no probe
+   *     that has to wait
+   */
+  boolean isClosedByEjection(boolean hasPlace, long nowMs) {
+    boolean probeHasToWait = rejectsOutliers && outliers.isEjected() && !hasPlace;
+    return probeHasToWait || outliers.rejectsAll(nowMs);
+  }
+
   /**
    * Returns the reason to reject at once an opening that would have to wait, or null if it may
    * wait. Nothing is counted: {@link #rejectionReason} decides when the opening is delivered. A
--- a/core/src/main/java/io/moorstage/core/agent/OutlierDetector.java
+++ b/core/src/main/java/io/moorstage/core/agent/OutlierDetector.java
@@ -105,6 +105,15 @@
     ejectedUntilMs = nowMs + ((long) BASE_EJECTION_MS << doublings);
   }
 
+  /**
+   * Returns whether the target may get no new flow at all, that is, it is ejected and no probe is
+   * due. Balancers are told this instead of {@link #isEjected}, since they send no flows, and so no
+   * probe, to a target that is reported as ejected.
+   */
+  boolean rejectsAll(long nowMs) {
+    return !mayAdmit(true, nowMs);
+  }
+
   /** Returns whether the target is ejected or being probed, and so gets at most one new flow. */
   boolean isEjected() {
     return state != State.IN_USE;
--- a/core/src/main/java/io/moorstage/core/agent/RequestQueue.java
+++ b/core/src/main/java/io/moorstage/core/agent/RequestQueue.java
@@ -87,6 +87,11 @@
     return admissionQueue;
   }
 
+  /** Returns whether an opening that arrives now would be delivered without a wait. */
+  boolean hasPlace(long nowMs) {
+    return !overloadControl || admissionQueue.hasPlace(nowMs);
+  }
+
   /** Returns whether segments with these terms are scheduled by the queue of overload control. */
   boolean isScheduled(ForwardTerms terms) {
     return overloadControl && terms.scheduling() != null;
--- a/core/src/main/java/io/moorstage/core/message/AgentReport.java
+++ b/core/src/main/java/io/moorstage/core/message/AgentReport.java
@@ -9,7 +9,8 @@
  * @param busyFlows number of flows with a request that is in progress at the target or queued at
  *     the agent
  * @param stopping whether the agent is shutting down
- * @param targetEjected whether the agent has ejected the target from new flows as an outlier
+ * @param targetEjected whether the target gets no new flows, since it is ejected as an outlier and
+ *     no probe is due
  * @param targetEnded whether the target's process has ended, so that it holds no flows
  * @param capacityReport what the agent has measured of the target's capacity
  */
--- a/core/src/test/java/io/moorstage/core/agent/AgentOverloadTest.java
+++ b/core/src/test/java/io/moorstage/core/agent/AgentOverloadTest.java
@@ -214,6 +214,32 @@
     assertThat(wasOpened(3)).isFalse();
   }
 
+  // Guards against balancers that send openings to a target that has no place for its probe: each
+  // would be given back.
+  @Test
+  void ejectionIsReportedUntilThereIsAPlaceForTheProbe() {
+    report(1, TargetPhase.READY, false);
+    open(1);
+    open(2);
+    begin(1);
+    begin(2);
+    nowMs += 500;
+    agent.onTick(nowMs);
+    assertThat(agent.isTargetEjected()).isTrue();
+    nowMs += 1_000;
+    agent.onTick(nowMs);
+    assertThat(agent.isTargetEjected()).isFalse();
+    forward(Fleet.data(Fleet.flow(1), 111, 10), 2);
+    forward(Fleet.data(Fleet.flow(2), 111, 10), 2);
+    open(3);
+    assertThat(actions.givenBack).containsExactly(GiveBackReason.UNFIT);
+    assertThat(agent.isTargetEjected()).isTrue();
+    receiveFromTarget(Fleet.close(Fleet.flow(1), 2));
+    assertThat(agent.isTargetEjected()).isFalse();
+    open(4);
+    assertThat(wasOpened(4)).isTrue();
+  }
+
   // Guards against openings that wait for a capacity that the source does not tell.
   @Test
   void unknownCapacityAdmitsAllAndReleasesWhatWaits() {
--- a/core/src/test/java/io/moorstage/core/agent/FlowAgentTargetTest.java
+++ b/core/src/test/java/io/moorstage/core/agent/FlowAgentTargetTest.java
@@ -2,17 +2,27 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import com.google.common.collect.Range;
 import io.moorstage.core.Fleet;
+import io.moorstage.core.flow.FlowId;
 import io.moorstage.core.flow.Segment;
+import io.moorstage.core.log.DecisionLog;
 import io.moorstage.core.message.FlowQueryResult;
+import io.moorstage.core.message.ForwardTerms;
 import io.moorstage.core.message.GiveBackReason;
 import io.moorstage.core.message.TargetReport;
+import io.moorstage.core.placement.TargetSlot;
+import io.moorstage.core.settings.Mechanism;
 import io.moorstage.core.state.Revision;
 import io.moorstage.core.state.TargetPhase;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 /** Tests how an agent detects that its target is cold, has ended, or is to be ejected. */
 class FlowAgentTargetTest extends AgentTestBase {
+  /** How long a balancer avoids an ejected target after a report or a give-back. */
+  private static final int SUSPICION_MS = 1_000;
+
   private void advanceToNextCheck() {
     int before = actions.targetChecks;
     for (int i = 0; i < 100 && actions.targetChecks == before; i++) {
@@ -213,6 +223,109 @@
     assertThat(countGivenBackAsUnfit()).isEqualTo(1);
   }
 
+  // Guards against an ejection that is reported for ever: balancers then choose other targets, and
+  // the probe that would end the ejection never comes.
+  @Test
+  void ejectionIsNotReportedOnceAProbeIsDue() {
+    breakOff(1);
+    breakOff(2);
+    breakOff(3);
+    nowMs += 999;
+    agent.onTick(nowMs);
+    assertThat(agent.isTargetEjected()).isTrue();
+    nowMs += 1;
+    agent.onTick(nowMs);
+    assertThat(agent.isTargetEjected()).isFalse();
+
+    openFlow(4);
+    assertThat(agent.isTargetEjected()).isTrue();
+    nowMs += 1_000;
+    agent.onTick(nowMs);
+    assertThat(agent.isTargetEjected()).isTrue();
+    nowMs += 1;
+    agent.onTick(nowMs);
+    assertThat(agent.isTargetEjected()).isFalse();
+    breakOff(4);
+    nowMs += 1_999;
+    agent.onTick(nowMs);
+    assertThat(agent.isTargetEjected()).isTrue();
+    nowMs += 1;
+    agent.onTick(nowMs);
+    assertThat(agent.isTargetEjected()).isFalse();
+  }
+
+  // Guards against a probe that comes late because the balancer avoids the target after each report
+  // or give-back, and against many openings that are given back around the probe.
+  @Test
+  void balancerThatAvoidsAnEjectedTargetSendsItsProbeSoonAfterItIsDue() {
+    TargetSlot slot = new TargetSlot(Fleet.target(1, TargetPhase.READY, 1), 0);
+    breakOff(1);
+    breakOff(2);
+    breakOff(3);
+    final long dueAtMs = nowMs + 1_000;
+    int port = 10;
+    int probePort = 0;
+    long probedAtMs = 0;
+    for (; nowMs < dueAtMs + 800; nowMs += 5) {
+      agent.onTick(nowMs);
+      if (nowMs % 100 == 0) {
+        slot.recordEjection(agent.isTargetEjected(), SUSPICION_MS, nowMs);
+      }
+      if (slot.isEjected(nowMs)) {
+        continue;
+      }
+      port++;
+      repeatable = port % 3 != 0;
+      int unfitBefore = countGivenBackAsUnfit();
+      forward(Fleet.open(Fleet.flow(port), 0));
+      if (countGivenBackAsUnfit() > unfitBefore) {
+        slot.recordEjection(true, SUSPICION_MS, nowMs);
+      } else if (probePort == 0) {
+        probePort = port;
+        probedAtMs = nowMs;
+        receiveFromTarget(Fleet.accepted(Fleet.flow(port)));
+      }
+    }
+    assertThat(probedAtMs - dueAtMs).isIn(Range.closed(0L, 200L));
+    assertThat(countGivenBackAsUnfit()).isAtMost(3);
+    forward(Fleet.data(Fleet.flow(probePort), 101, 10));
+    respond(probePort);
+    assertThat(agent.isTargetEjected()).isFalse();
+  }
+
+  // Guards against an ejection that no flow can end, since an agent that rejects no openings for an
+  // ejection did not count any of them as the probe.
+  @Test
+  void firstFlowAfterAnEjectionIsTheProbeThoughEjectionsRejectNone() {
+    FlowAgent lenient =
+        new FlowAgent(
+            Fleet.POLICY.without(Set.of(Mechanism.OUTLIER_REFUSAL)),
+            Fleet.SERVICE,
+            actions,
+            DecisionLog.NONE,
+            0);
+    ForwardTerms terms = new ForwardTerms(Fleet.SERVICE, 1, TIMEOUT_MS, 0, true, false);
+    for (int port = 1; port <= 4; port++) {
+      FlowId flow = Fleet.flow(port);
+      Segment open = Fleet.open(flow, 0);
+      Segment request = Fleet.data(flow, 101, 10);
+      Segment accepted = Fleet.accepted(flow);
+      lenient.onForwarded(Fleet.BALANCER, terms, open, Fleet.bytes(open), nowMs);
+      lenient.onTargetSegment(accepted, Fleet.bytes(accepted), nowMs);
+      lenient.onForwarded(Fleet.BALANCER, terms, request, Fleet.bytes(request), nowMs);
+      Segment end =
+          port < 4
+              ? new Segment(flow, Segment.Kind.RESET, 0, false, 2, 0, 0)
+              : Fleet.data(flow, 2, 100);
+      lenient.onTargetSegment(end, Fleet.bytes(end), nowMs);
+      if (port == 3) {
+        assertThat(lenient.isTargetEjected()).isTrue();
+        nowMs += 1_100;
+      }
+    }
+    assertThat(lenient.isTargetEjected()).isFalse();
+  }
+
   @Test
   void targetWithoutAResponseForMuchLongerThanUsualIsEjected() {
     openFlow(1);
