Keep waiting openings that an ejection does not reject

A stall gave back all waiting openings as UNFIT, also those that override the ejection and those of an agent with outlier-refusal off. An ejection because of broken-off requests gave none back, so that openings waited on while requests on open flows took the places that became free.

After either kind of ejection, the agent now gives back the waiting openings that would be rejected if they arrived then.

Three of the new tests failed before the change (override, outlier-refusal off, broken-off requests); the one for a stall passed already.

--- a/core/src/main/java/io/moorstage/core/agent/AdmissionQueue.java
+++ b/core/src/main/java/io/moorstage/core/agent/AdmissionQueue.java
@@ -30,6 +30,10 @@
     /** Starts at the target. */
     void start(long nowMs);
 
+    /** Returns why it may no longer wait, or null if it may; called for openings only. */
+    @Nullable
+    GiveBackReason rejectionReason(long nowMs);
+
     /** Is given back to its balancer; called for openings only. */
     void giveBack(GiveBackReason reason, long nowMs);
   }
@@ -154,6 +158,17 @@
     }
   }
 
+  /** Gives back the waiting openings that would be rejected if they arrived now. */
+  void giveBackRejected(long nowMs) {
+    for (ScheduledRequest<Waiter> entry : new ArrayList<>(openings.values())) {
+      GiveBackReason reason = entry.payload().rejectionReason(nowMs);
+      if (reason != null) {
+        scheduler.remove(entry);
+        entry.payload().giveBack(reason, nowMs);
+      }
+    }
+  }
+
   /** Starts as many of those that wait as the target has places for. */
   void startWaiting(long nowMs) {
     if (scheduler.size() == 0) {
--- a/core/src/main/java/io/moorstage/core/agent/FlowAgent.java
+++ b/core/src/main/java/io/moorstage/core/agent/FlowAgent.java
@@ -184,7 +184,16 @@
    * @param datagram the bytes of the segment; the flag that marks a returned one is cleared
    */
   public synchronized void onTargetSegment(Segment segment, ByteBuffer datagram, long nowMs) {
+    boolean ejectedBefore = target.isEjected();
     targetSegments.onTargetSegment(segment, datagram, nowMs);
+    giveBackIfNewlyEjected(ejectedBefore, nowMs);
+  }
+
+  // Openings that override the ejection continue to wait.
+  private void giveBackIfNewlyEjected(boolean ejectedBefore, long nowMs) {
+    if (!ejectedBefore && target.isEjected()) {
+      flows.requests().admissionQueue().giveBackRejected(nowMs);
+    }
   }
 
   /** Returns the result of a balancer's query whether the target holds a flow. */
@@ -217,9 +226,7 @@
     if (oldest != null) {
       boolean ejectedBefore = target.isEjected();
       target.detectStall(oldest, nowMs);
-      if (!ejectedBefore && target.isEjected()) {
-        flows.requests().admissionQueue().giveBackOpenings(GiveBackReason.UNFIT, nowMs);
-      }
+      giveBackIfNewlyEjected(ejectedBefore, nowMs);
     }
     if (target.pollDueCheck(nowMs)) {
       actions.checkTarget();
--- a/core/src/main/java/io/moorstage/core/agent/ForwardedOpenings.java
+++ b/core/src/main/java/io/moorstage/core/agent/ForwardedOpenings.java
@@ -10,6 +10,7 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
+import javax.annotation.Nullable;
 
 /**
  * Handles openings that balancers forward: delivers them to the target, lets them wait in {@link
@@ -152,6 +153,12 @@
       }
     }
 
+    @Override
+    @Nullable
+    public GiveBackReason rejectionReason(long nowMs) {
+      return target.admission().rejectionReasonIfQueued(terms, nowMs);
+    }
+
     // The balancer counts the openings of a flow that it has not got back, so each copy is given
     // back.
     @Override
--- a/core/src/main/java/io/moorstage/core/agent/RequestQueue.java
+++ b/core/src/main/java/io/moorstage/core/agent/RequestQueue.java
@@ -10,6 +10,7 @@
 import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.function.LongToDoubleFunction;
+import javax.annotation.Nullable;
 
 /**
  * Tracks the requests of an agent's flows: those in progress at the target, and those that wait.
@@ -309,6 +310,12 @@
       release(flow, nowMs);
     }
 
+    @Override
+    @Nullable
+    public GiveBackReason rejectionReason(long nowMs) {
+      return null;
+    }
+
     @Override
     public void giveBack(GiveBackReason reason, long nowMs) {
       throw new IllegalStateException("requests on open flows are never given back");
--- a/core/src/test/java/io/moorstage/core/agent/AgentOverloadTest.java
+++ b/core/src/test/java/io/moorstage/core/agent/AgentOverloadTest.java
@@ -10,10 +10,13 @@
 import io.moorstage.core.message.GiveBackReason;
 import io.moorstage.core.message.SchedulingTerms;
 import io.moorstage.core.message.TargetReport;
+import io.moorstage.core.settings.ForwardingPolicy;
+import io.moorstage.core.settings.Mechanism;
 import io.moorstage.core.settings.OverloadSettings;
 import io.moorstage.core.state.TargetPhase;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -24,16 +27,20 @@
 
   private final Fleet.RecordingAgentActions actions = new Fleet.RecordingAgentActions();
   private final List<Decision> decisions = new ArrayList<>();
-  private final FlowAgent agent =
-      new FlowAgent(
-          Fleet.POLICY.with(OverloadSettings.STANDARD),
-          Fleet.SERVICE,
-          actions,
-          (decision, flow, address, reason, ageMs) -> decisions.add(decision),
-          0);
+  private FlowAgent agent = agent(Fleet.POLICY);
   private long nowMs = 1_000;
   private long revision = 1;
   private int coldOpeningsPerS;
+  private boolean overridesEjection;
+
+  private FlowAgent agent(ForwardingPolicy policy) {
+    return new FlowAgent(
+        policy.with(OverloadSettings.STANDARD),
+        Fleet.SERVICE,
+        actions,
+        (decision, flow, address, reason, ageMs) -> decisions.add(decision),
+        0);
+  }
 
   private void report(int capacity, TargetPhase phase, boolean evacuated) {
     TargetReport report =
@@ -49,7 +56,7 @@
             TIMEOUT_MS,
             coldOpeningsPerS,
             true,
-            false,
+            overridesEjection,
             new SchedulingTerms(400, priority, 5, 1));
     agent.onForwarded(Fleet.BALANCER, terms, segment, Fleet.bytes(segment), nowMs);
   }
@@ -214,6 +221,72 @@
     assertThat(wasOpened(3)).isFalse();
   }
 
+  private void stall() {
+    begin(1);
+    begin(2);
+    nowMs += 450;
+    agent.onTick(nowMs);
+  }
+
+  // Guards against an opening that waits for a stalled target until its client gives up.
+  @Test
+  void openingIsGivenBackAsUnfitWhenTheTargetStalls() {
+    fillAndQueue();
+    stall();
+    assertThat(actions.givenBack).containsExactly(GiveBackReason.UNFIT);
+    assertThat(agent.waitingOpenings()).isEqualTo(0);
+  }
+
+  // Guards against an opening that waits for a target which was ejected because it broke off
+  // requests, while requests on open flows take the places that become free.
+  @Test
+  void openingIsGivenBackAsUnfitWhenTheTargetBreaksOffRequests() {
+    report(1, TargetPhase.READY, false);
+    for (int port = 5; port <= 7; port++) {
+      open(port);
+      begin(port);
+      respond(port);
+    }
+    fillAndQueue();
+    begin(1);
+    begin(2);
+    for (int port = 5; port <= 7; port++) {
+      forward(Fleet.data(Fleet.flow(port), 111, 10), 1);
+    }
+    receiveFromTarget(Fleet.close(Fleet.flow(1), 2));
+    receiveFromTarget(Fleet.close(Fleet.flow(2), 2));
+    assertThat(actions.givenBack).isEmpty();
+    receiveFromTarget(Fleet.close(Fleet.flow(5), 102));
+    assertThat(agent.isTargetEjected()).isTrue();
+    assertThat(actions.givenBack).containsExactly(GiveBackReason.UNFIT);
+    assertThat(agent.waitingOpenings()).isEqualTo(0);
+  }
+
+  // Guards against the loss of openings when most targets are ejected: their balancers override
+  // the ejection, and no other target would take them.
+  @Test
+  void openingThatOverridesTheEjectionStaysQueued() {
+    overridesEjection = true;
+    fillAndQueue();
+    stall();
+    assertThat(decisions).contains(Decision.TARGET_UNFIT);
+    assertThat(actions.givenBack).isEmpty();
+    respond(1);
+    assertThat(wasOpened(3)).isTrue();
+  }
+
+  // Guards against openings that are given back for an ejection by an agent that rejects none.
+  @Test
+  void openingStaysQueuedIfEjectionsRejectNone() {
+    agent = agent(Fleet.POLICY.without(Set.of(Mechanism.OUTLIER_REFUSAL)));
+    fillAndQueue();
+    stall();
+    assertThat(decisions).contains(Decision.TARGET_UNFIT);
+    assertThat(actions.givenBack).isEmpty();
+    respond(1);
+    assertThat(wasOpened(3)).isTrue();
+  }
+
   // Guards against balancers that send openings to a target that has no place for its probe: each
   // would be given back.
   @Test
