Find the admitted rank by a binary search in each share

The scheduler tried every position of each share for each beacon, with a scan of the shares for each position. The work ahead never decreases with the position, so a binary search gives the same rank.

The new test compares the rank with what is queued, for 200 random queues.

--- a/core/src/main/java/io/moorstage/core/agent/RequestScheduler.java
+++ b/core/src/main/java/io/moorstage/core/agent/RequestScheduler.java
@@ -22,7 +22,8 @@
  * target's capacity, does not end by the latest start of its deadlines. This also bounds the number
  * of waiting openings. If an arrival delays waiting openings past this limit, these are rejected,
  * the last in the order first. The cost of an operation grows with the number of priorities and
- * shares, and with the logarithm of the number of waiting requests.
+ * shares, and with the logarithm of the number of waiting requests; that of {@link #pollDelayed}
+ * and {@link #admittedRank} with the square of the number of shares of a priority.
  *
  * @param <T> what waits
  */
@@ -255,11 +256,7 @@
   private int highestAdmittedOrder(RequestLevel<T> level, int admitted, double meanMs) {
     int highest = -1;
     for (RequestShare<T> share : level.shares()) {
-      int position = -1;
-      while (position < share.size()
-          && startsInTime(share, position + 1, share.objectiveMs() / 2, admitted, meanMs)) {
-        position++;
-      }
+      int position = lastPositionInTime(share, admitted, meanMs);
       if (position >= 0) {
         highest = Math.max(highest, share.highestOrderAt(position));
       }
@@ -267,6 +264,21 @@
     return highest;
   }
 
+  // The work ahead never decreases with the position, which allows a binary search.
+  private int lastPositionInTime(RequestShare<T> share, int admitted, double meanMs) {
+    int inTime = -1;
+    int tooLate = share.size() + 1;
+    while (tooLate - inTime > 1) {
+      int middle = (inTime + tooLate) >>> 1;
+      if (startsInTime(share, middle, share.objectiveMs() / 2, admitted, meanMs)) {
+        inTime = middle;
+      } else {
+        tooLate = middle;
+      }
+    }
+    return inTime;
+  }
+
   /** Forgets shares that no request has used for some time. */
   void evictUnusedShares(long nowMs) {
     for (Iterator<RequestLevel<T>> iterator = levels.values().iterator(); iterator.hasNext(); ) {
--- a/core/src/test/java/io/moorstage/core/agent/RequestSchedulerTest.java
+++ b/core/src/test/java/io/moorstage/core/agent/RequestSchedulerTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import io.moorstage.core.message.SchedulingTerms;
+import java.util.Random;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -13,6 +14,7 @@
   private static final int OBJECTIVE_MS = 400;
   private static final int TIMEOUT_MS = 2_000;
   private static final long ROUTE = 7;
+  private static final long SEED = 20261203;
 
   private double serviceMs = SERVICE_MS;
   private final RequestScheduler<String> scheduler = new RequestScheduler<>(unused -> serviceMs);
@@ -156,6 +158,44 @@
     assertThat(open("not admitted", 2, 18, 0)).isNull();
   }
 
+  // Guards against a reported rank that differs from what is queued, for any sizes of the shares.
+  @Test
+  void openingOfTheAdmittedRankIsQueuedAndOneAboveItIsNot() {
+    Random random = new Random(SEED);
+    int limited = 0;
+    for (int round = 0; round < 200; round++) {
+      RequestScheduler<String> queue = new RequestScheduler<>(unused -> SERVICE_MS);
+      queue.setCapacity(1 + random.nextInt(3));
+      int zones = 1 + random.nextInt(4);
+      int arrivals = random.nextInt(80);
+      for (int i = 0; i < arrivals; i++) {
+        addOpening(queue, random.nextInt(256), random.nextInt(zones));
+      }
+      int rank = queue.admittedRank(ADMITTED, nowMs);
+      if (rank == SchedulingTerms.ADMIT_ALL) {
+        continue;
+      }
+      limited++;
+      int order = rank - new SchedulingTerms(0, 2, 0, 0).rank();
+      boolean admitsAtRank = false;
+      for (int zone = 0; zone < zones; zone++) {
+        assertThat(addOpening(queue, order + 1, zone)).isNull();
+        ScheduledRequest<String> atRank = order < 0 ? null : addOpening(queue, order, zone);
+        if (atRank != null) {
+          admitsAtRank = true;
+          queue.remove(atRank);
+        }
+      }
+      assertThat(admitsAtRank).isEqualTo(order >= 0);
+    }
+    assertThat(limited).isGreaterThan(50);
+  }
+
+  private ScheduledRequest<String> addOpening(RequestScheduler<String> queue, int order, int zone) {
+    SchedulingTerms terms = new SchedulingTerms(OBJECTIVE_MS, 2, order, zone);
+    return queue.addOpening("o", terms, ROUTE, TIMEOUT_MS, 0, ADMITTED, nowMs);
+  }
+
   // Guards against an unknown service time being taken for none, which would admit all.
   @Test
   void unknownServiceTimeIsReplacedByADefault() {
