--- a/core/src/test/java/io/moorstage/core/agent/AgentOverloadTest.java
+++ b/core/src/test/java/io/moorstage/core/agent/AgentOverloadTest.java
@@ -134,10 +134,9 @@
     assertThat(wasDelivered(late)).isTrue();
   }
 
-  // Guards against the loss of a client's data on an open flow, and against less urgent requests
-  // that go first.
+  // Guards against the loss of a client's data on an open flow.
   @Test
-  void requestOnAnOpenFlowWaitsInOrderAndIsDelivered() {
+  void requestOnAnOpenFlowThatWaitsIsDelivered() {
     report(1, TargetPhase.READY, false);
     open(1);
     begin(1);
@@ -149,6 +148,7 @@
     open(4);
     Segment request = Fleet.data(Fleet.flow(1), 111, 10);
     forward(request, 1);
+    assertThat(agent.waitingRequests()).isEqualTo(1);
     nowMs += 10_000;
     respond(2);
     assertThat(wasDelivered(request)).isTrue();
@@ -192,6 +192,30 @@
     respond(1);
     assertThat(agent.waitingOpenings()).isEqualTo(0);
     assertThat(wasOpened(3)).isFalse();
+    assertThat(actions.givenBack).isEmpty();
+  }
+
+  // Guards against a sweep that removes what waits.
+  @Test
+  void openingAndRequestThatWaitRemainAfterASweep() {
+    report(1, TargetPhase.READY, false);
+    open(5);
+    begin(5);
+    respond(5);
+    fillAndQueue();
+    begin(1);
+    begin(2);
+    Segment request = Fleet.data(Fleet.flow(5), 111, 10);
+    forward(request, 1);
+    nowMs += 300;
+    agent.onSweep(nowMs);
+    assertThat(agent.waitingOpenings()).isEqualTo(1);
+    assertThat(agent.waitingRequests()).isEqualTo(1);
+    assertThat(actions.givenBack).isEmpty();
+    respond(1);
+    assertThat(wasDelivered(request)).isTrue();
+    respond(2);
+    assertThat(wasOpened(3)).isTrue();
   }
 
   @Test
