--- a/core/src/main/java/io/moorstage/core/agent/FlowAgent.java
+++ b/core/src/main/java/io/moorstage/core/agent/FlowAgent.java
@@ -122,10 +122,12 @@
   }
 
   /**
-   * Returns whether the target is ejected because it broke off requests or did not respond to them.
+   * Returns whether the target gets no new flows, as of the last tick, because it broke off
+   * requests or did not respond to them. Once a probe is due this is false, so that balancers send
+   * one.
    */
   public synchronized boolean isTargetEjected() {
-    return target.isEjected();
+    return target.isClosedByEjection(flows.requests().hasPlace(tickedAtMs), tickedAtMs);
   }
 
   /** Returns whether checks have found that the target's process has ended. */
@@ -182,7 +184,16 @@
    * @param datagram the bytes of the segment; the flag that marks a returned one is cleared
    */
   public synchronized void onTargetSegment(Segment segment, ByteBuffer datagram, long nowMs) {
+    boolean ejectedBefore = target.isEjected();
     targetSegments.onTargetSegment(segment, datagram, nowMs);
+    giveBackIfNewlyEjected(ejectedBefore, nowMs);
+  }
+
+  // Openings that override the ejection continue to wait.
+  private void giveBackIfNewlyEjected(boolean ejectedBefore, long nowMs) {
+    if (!ejectedBefore && target.isEjected()) {
+      flows.requests().admissionQueue().giveBackRejected(nowMs);
+    }
   }
 
   /** Returns the result of a balancer's query whether the target holds a flow. */
@@ -215,9 +226,7 @@
     if (oldest != null) {
       boolean ejectedBefore = target.isEjected();
       target.detectStall(oldest, nowMs);
-      if (!ejectedBefore && target.isEjected()) {
-        flows.requests().admissionQueue().giveBackOpenings(GiveBackReason.UNFIT, nowMs);
-      }
+      giveBackIfNewlyEjected(ejectedBefore, nowMs);
     }
     if (target.pollDueCheck(nowMs)) {
       actions.checkTarget();
--- a/core/src/main/java/io/moorstage/core/agent/RequestQueue.java
+++ b/core/src/main/java/io/moorstage/core/agent/RequestQueue.java
@@ -10,6 +10,7 @@
 import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.function.LongToDoubleFunction;
+import javax.annotation.Nullable;
 
 /**
  * Tracks the requests of an agent's flows: those in progress at the target, and those that wait.
@@ -87,6 +88,11 @@
     return admissionQueue;
   }
 
+  /** Returns whether an opening that arrives now would be delivered without a wait. */
+  boolean hasPlace(long nowMs) {
+    return !overloadControl || admissionQueue.hasPlace(nowMs);
+  }
+
   /** Returns whether segments with these terms are scheduled by the queue of overload control. */
   boolean isScheduled(ForwardTerms terms) {
     return overloadControl && terms.scheduling() != null;
@@ -304,6 +310,12 @@
       release(flow, nowMs);
     }
 
+    @Override
+    @Nullable
+    public GiveBackReason rejectionReason(long nowMs) {
+      return null;
+    }
+
     @Override
     public void giveBack(GiveBackReason reason, long nowMs) {
       throw new IllegalStateException("requests on open flows are never given back");
