Recognize recovery from a long slow phase, and ignore requests without end

A target that had been 20 times slower for 150 answers had no estimate after its recovery: all its answers counted as rejections, since they were compared with the mean of the slow phase. They are now compared with the lowest mean of a full window since the target's start.

One request without end raised the estimate of a target of four slots from 20 to 320 ms within 2 s, although it answered all others. A request in progress is now overdue only if no other is answered meanwhile.

--- a/core/src/main/java/io/moorstage/core/agent/ServiceTimeEstimator.java
+++ b/core/src/main/java/io/moorstage/core/agent/ServiceTimeEstimator.java
@@ -54,14 +54,16 @@
   private static final double MAX_TIME_FACTOR = 4;
 
   /**
-   * A request in progress for longer raises the estimate; a shorter one may just be a request of 7
-   * times the usual length.
+   * A request in progress for longer raises the estimate if no other is answered; a shorter one may
+   * just be a request of 7 times the usual length.
    */
   private static final double OVERDUE_FACTOR = 10;
 
   /**
-   * An answer in a shorter part of the mean time, or of the last mean of a full window if that is
+   * An answer in a shorter part of the mean time, or of the lowest mean of a full window if that is
    * shorter, is a rejection: by calculation, 1 of 100,000 requests is so short at steady speed.
+   * With the last mean of a full window, the answers of a target that had been 20 times slower for
+   * 150 answers counted as rejections after its recovery.
    */
   private static final double REJECTED_FACTOR = 0.1;
 
@@ -73,7 +75,8 @@
   private double unansweredMs;
   private int answers;
   private int rejectedInSequence;
-  private double steadyMeanMs;
+  private double lowestMeanMs;
+  private long answeredAtMs;
 
   /** The last times in a ring, with their sum. */
   private static final class Samples {
@@ -120,7 +123,8 @@
     unansweredMs = 0;
     answers = 0;
     rejectedInSequence = 0;
-    steadyMeanMs = 0;
+    lowestMeanMs = 0;
+    answeredAtMs = 0;
   }
 
   /** Records that a flow's request has been delivered to the target. */
@@ -138,25 +142,26 @@
       started = startedAtMs.entrySet().iterator().next().setValue(nowMs);
     }
     if (started != null) {
-      onAnswerAfter(nowMs - started);
+      onAnswerAfter(nowMs - started, nowMs);
     }
     startQueued(nowMs);
   }
 
-  private void onAnswerAfter(long timeMs) {
+  private void onAnswerAfter(long timeMs, long nowMs) {
     if (isRejected(timeMs)) {
       unansweredMs += timeMs;
       rejectedInSequence++;
       return;
     }
     rejectedInSequence = 0;
+    answeredAtMs = nowMs;
     add(timeMs + unansweredMs);
     unansweredMs = 0;
   }
 
   private boolean isRejected(long timeMs) {
-    double steadyMs = steadyMeanMs == 0 ? window.mean() : steadyMeanMs;
-    return timeMs < REJECTED_FACTOR * Math.min(window.mean(), steadyMs);
+    double lowestMs = lowestMeanMs == 0 ? window.mean() : lowestMeanMs;
+    return timeMs < REJECTED_FACTOR * Math.min(window.mean(), lowestMs);
   }
 
   /** Records that a flow's request has ended, unless its answer was recorded. */
@@ -181,7 +186,9 @@
     boolean hasMean = answers >= MIN_ANSWERS;
     window.add(hasMean ? Math.min(timeMs, MAX_TIME_FACTOR * meanMs) : timeMs);
     answers++;
-    steadyMeanMs = window.count == WINDOW ? window.mean() : steadyMeanMs;
+    if (window.count == WINDOW) {
+      lowestMeanMs = lowestMeanMs == 0 ? window.mean() : Math.min(lowestMeanMs, window.mean());
+    }
     if (hasMean && recent.count >= RECENT_CHANGED) {
       restartOnChange(SLOW_FACTOR * meanMs, FAST_FACTOR * meanMs);
     }
@@ -220,7 +227,8 @@
     if (startedAtMs.isEmpty()) {
       return meanMs;
     }
-    double oldestMs = nowMs - startedAtMs.values().iterator().next() + unansweredMs;
+    long oldestStartMs = startedAtMs.values().iterator().next();
+    double oldestMs = nowMs - oldestStartMs + unansweredMs;
     double slowMs = SLOW_FACTOR * meanMs;
     double sumMs = oldestMs;
     int slow = 1;
@@ -231,7 +239,8 @@
     if (oldestMs > slowMs && slow >= RECENT_CHANGED) {
       return sumMs / slow;
     }
-    double overdueMs = Math.max(0, oldestMs - OVERDUE_FACTOR * meanMs);
+    double silentMs = nowMs - Math.max(oldestStartMs, answeredAtMs) + unansweredMs;
+    double overdueMs = Math.max(0, silentMs - OVERDUE_FACTOR * meanMs);
     return meanMs + overdueMs / RECENT;
   }
 
--- a/core/src/test/java/io/moorstage/core/agent/ServiceTimeEstimatorTest.java
+++ b/core/src/test/java/io/moorstage/core/agent/ServiceTimeEstimatorTest.java
@@ -86,6 +86,25 @@
     assertThat(estimator.meanMs(nowMs)).isAtLeast(20.0);
   }
 
+  // Otherwise the normal answers of a target that was slow for 150 answers count as rejections.
+  @Test
+  void targetThatRecoversFromALongSlowPhaseIsNotTakenForOneThatRejectsRequests() {
+    serve(150, 20);
+    serve(300, 400);
+    serve(150, 20);
+    assertThat(estimator.meanMs(nowMs)).isWithin(5.0).of(20);
+  }
+
+  // Otherwise a client that waits for an event makes its target look slow.
+  @Test
+  void requestWithoutEndDoesNotRaiseTheEstimateWhileOthersAreAnswered() {
+    estimator.setCapacity(4, nowMs);
+    serve(100, 20);
+    begin();
+    serve(100, 20);
+    assertThat(estimator.meanMs(nowMs)).isWithin(5.0).of(20);
+  }
+
   // Otherwise a target that does not serve in order of arrival looks slower than it is.
   @Test
   void requestThatOvertakesAnotherCountsAsServedInItsPlace() {
