Probe slow targets where half of the targets or more are slow

A target was probed if it was twice as slow as the mean, which the slower of two targets never is. At low load it then got no flow, so that its agent could not notice its recovery. A target that is three times as slow as the fastest tenth is now probed as well.

--- a/core/src/main/java/io/moorstage/core/placement/ServiceTimes.java
+++ b/core/src/main/java/io/moorstage/core/placement/ServiceTimes.java
@@ -8,6 +8,7 @@
  *
  * @param computedAtMs when they were computed
  * @param meanMs mean time for which a target works on a request; 0 if not known
+ * @param fastestMs mean time of the fastest tenth of the targets; 0 if not known
  * @param spread the mean time of the slowest tenth of the targets, divided by that of the fastest
  *     tenth; 1 if the times of fewer than half of the targets are known
  * @param meanCompletionMs mean expected time to completion of a further request
@@ -17,6 +18,7 @@
 record ServiceTimes(
     long computedAtMs,
     double meanMs,
+    double fastestMs,
     double spread,
     double meanCompletionMs,
     double meanHeldMs,
@@ -34,7 +36,7 @@
   private static final int FRACTION_OF_A_TENTH = 10;
 
   /** Service times before any report. */
-  static final ServiceTimes UNKNOWN = new ServiceTimes(Long.MIN_VALUE / 2, 0, 1, 0, 0, false);
+  static final ServiceTimes UNKNOWN = new ServiceTimes(Long.MIN_VALUE / 2, 0, 0, 1, 0, 0, false);
 
   /**
    * Computes the service times of the targets that accept new flows.
@@ -53,12 +55,13 @@
       }
     }
     if (known < 2 || 2 * known < accepting) {
-      return new ServiceTimes(nowMs, 0, 1, 0, 0, false);
+      return new ServiceTimes(nowMs, 0, 0, 1, 0, 0, false);
     }
     Arrays.sort(times, 0, known);
     double meanMs = mean(times, 0, known);
     int tenth = (known + FRACTION_OF_A_TENTH - 1) / FRACTION_OF_A_TENTH;
-    double spread = mean(times, known - tenth, known) / mean(times, 0, tenth);
+    double fastestMs = mean(times, 0, tenth);
+    double spread = mean(times, known - tenth, known) / fastestMs;
     double completionMs = 0;
     double heldMs = 0;
     double held = 0;
@@ -74,7 +77,7 @@
       }
     }
     boolean areFlowsLong = held >= LONG_FLOWS_PER_SLOT * capacity;
-    return new ServiceTimes(nowMs, meanMs, spread, completionMs, heldMs, areFlowsLong);
+    return new ServiceTimes(nowMs, meanMs, fastestMs, spread, completionMs, heldMs, areFlowsLong);
   }
 
   private static double mean(double[] values, int from, int to) {
--- a/core/src/main/java/io/moorstage/core/placement/TargetChoice.java
+++ b/core/src/main/java/io/moorstage/core/placement/TargetChoice.java
@@ -73,6 +73,12 @@
    */
   private static final double PROBED_FACTOR = 2.0;
 
+  /**
+   * So does one this many times as slow as the fastest tenth: where half of the targets are slow,
+   * none takes twice the mean time.
+   */
+  private static final double PROBED_FACTOR_TO_FASTEST = 3.0;
+
   /**
    * After this many mean service times, a reported load says little about the current one. In a
    * simulation of 20 balancers and 50 targets, factors of 1.5 and 6 gave longer response times.
@@ -310,9 +316,9 @@
   private boolean isToBeProbed(TargetSlot slot, ServiceTimes times, long nowMs) {
     boolean isIdle = slot.load(reportValidMs, nowMs) * slot.record().capacity() <= 1;
     boolean holdsLongFlows = times.areFlowsLong() && slot.heldLoad(reportValidMs, nowMs) > 0;
-    return isIdle
-        && !holdsLongFlows
-        && slot.serviceTimeMs(reportValidMs, nowMs) > PROBED_FACTOR * times.meanMs();
+    double probedMs =
+        Math.min(PROBED_FACTOR * times.meanMs(), PROBED_FACTOR_TO_FASTEST * times.fastestMs());
+    return isIdle && !holdsLongFlows && slot.serviceTimeMs(reportValidMs, nowMs) > probedMs;
   }
 
   private double costByTime(TargetSlot slot, ServiceTimes times, long nowMs) {
--- a/core/src/test/java/io/moorstage/core/placement/TargetPoolTest.java
+++ b/core/src/test/java/io/moorstage/core/placement/TargetPoolTest.java
@@ -76,6 +76,23 @@
     assertThat(pool.serviceTimeSpread(nowMs)).isGreaterThan(1.0);
   }
 
+  // With few requests, only a probe shows that the slow one of two targets has recovered.
+  @Test
+  void slowTargetOfTwoIsProbedWhileItIsIdle() {
+    TargetPool pool = pool(2, 0);
+    TargetSlot slow = ownZoneTargets.get(0);
+    int probes = 0;
+    for (int port = 1; port <= 100; port++) {
+      nowMs += 100;
+      for (TargetSlot slot : ownZoneTargets) {
+        slot.recordBusyFlows(0, nowMs);
+        reportTime(slot, slot == slow ? 2_000 : 200, nowMs);
+      }
+      probes += pool.choose(Fleet.flow(port), List.of(), nowMs) == slow ? 1 : 0;
+    }
+    assertThat(probes).isAtLeast(10);
+  }
+
   // Otherwise the cost of a search for a lost flow grows with the number of targets.
   @Test
   void targetChosenByServiceTimeIsAmongTheFirstEightThatASearchQueries() {
