Offer a flow to all targets that a placement by service times may have used

A search offered a flow to eight targets whose agents report it as unlikely only while service times differ at the time of the search. Agents that report so have restarted and know no service times yet, and a balancer that has restarted knows none either, so an open flow at the fifth to eighth target was reset.

--- a/core/src/main/java/io/moorstage/core/balancer/FlowLocator.java
+++ b/core/src/main/java/io/moorstage/core/balancer/FlowLocator.java
@@ -213,7 +213,7 @@
     if (slot == null) {
       return;
     }
-    offers.addResponse(search, slot, result, nowMs);
+    offers.addResponse(search, slot, result);
     if (!search.hasPending() && search.hasAgentsToQuery()) {
       queries.queryNextRound(search, nowMs);
     } else if (search.hasNothingPending()) {
--- a/core/src/main/java/io/moorstage/core/balancer/SearchOffers.java
+++ b/core/src/main/java/io/moorstage/core/balancer/SearchOffers.java
@@ -17,11 +17,11 @@
  * <p>A target is a candidate if its agent cannot rule out that it holds the flow, and its service
  * is one that the flow's route has or is known to have had. A target reported as unlikely to hold
  * the flow is a candidate only if it is one of the {@link SearchQueries#FIRST_ROUND_SIZE} most
- * likely, or of twice as many while the service times of its pool differ. Offers are made one at a
- * time, the most likely target first, and only when no response is pending: a target returns a
- * segment of an unknown flow at once, and is treated as the holder if it keeps the segment for
- * {@code offerTimeoutMs}. After a batch of offers the search pauses for {@code pauseMs} and then
- * queries again. While an agent that may know the flow has not responded, at most {@value
+ * likely, or of twice as many with placement by service times. Offers are made one at a time, the
+ * most likely target first, and only when no response is pending: a target returns a segment of an
+ * unknown flow at once, and is treated as the holder if it keeps the segment for {@code
+ * offerTimeoutMs}. After a batch of offers the search pauses for {@code pauseMs} and then queries
+ * again. While an agent that may know the flow has not responded, at most {@value
  * #MAX_SPECULATIVE_OFFERS} offers are made for the flow.
  *
  * <p>An agent that has run for less than the time a flow is remembered does not know all flows of
@@ -55,18 +55,18 @@
   }
 
   /** Adds the target of an agent that has responded to the candidates if it may hold the flow. */
-  void addResponse(Search search, TargetSlot slot, FlowQueryResult result, long nowMs) {
-    boolean possible = mayHold(search, slot, result, nowMs);
+  void addResponse(Search search, TargetSlot slot, FlowQueryResult result) {
+    boolean possible = mayHold(search, slot, result);
     if (possible && tables.mayHold(search.flow(), slot.record().service())) {
       search.addCandidate(slot);
     }
   }
 
-  private boolean mayHold(Search search, TargetSlot slot, FlowQueryResult result, long nowMs) {
+  private boolean mayHold(Search search, TargetSlot slot, FlowQueryResult result) {
     if (result == FlowQueryResult.UNLIKELY) {
       int rank = search.likelihoodRank(slot.address());
       TargetPool pool = tables.poolOf(slot.record().service());
-      int likely = pool == null ? TargetPool.LIKELY_TARGETS : pool.likelyTargets(nowMs);
+      int likely = pool == null ? TargetPool.LIKELY_TARGETS : pool.likelyTargets();
       return rank >= 0 && rank < likely;
     }
     return result == FlowQueryResult.UNKNOWN;
--- a/core/src/main/java/io/moorstage/core/placement/TargetChoice.java
+++ b/core/src/main/java/io/moorstage/core/placement/TargetChoice.java
@@ -238,8 +238,13 @@
     return staysInZone ? local : cheapest(ofAll, byTime ? times : null, nowMs);
   }
 
-  /** Returns whether flows are placed by service times, since these differ. */
-  boolean comparesTimes(List<TargetSlot> slots, long nowMs) {
+  /** Returns whether flows are placed by service times while these differ. */
+  boolean usesServiceTimes() {
+    return usesServiceTimes;
+  }
+
+  /** Returns whether flows are placed by service times now, since these differ. */
+  private boolean comparesTimes(List<TargetSlot> slots, long nowMs) {
     return usesServiceTimes && serviceTimes(slots, nowMs).differ();
   }
 
--- a/core/src/main/java/io/moorstage/core/placement/TargetPool.java
+++ b/core/src/main/java/io/moorstage/core/placement/TargetPool.java
@@ -141,11 +141,12 @@
   }
 
   /**
-   * Returns how many of the first targets of {@link #byLikelihood} a new flow may be given to:
-   * twice as many while the service times differ.
+   * Returns how many of the first targets of {@link #byLikelihood} a flow may have been given to:
+   * with placement by service times, these may have differed when the flow was opened, or at the
+   * balancer that placed it.
    */
-  public int likelyTargets(long nowMs) {
-    return choice.comparesTimes(slots, nowMs) ? 2 * CHOICES_BY_TIME : LIKELY_TARGETS;
+  public int likelyTargets() {
+    return choice.usesServiceTimes() ? 2 * CHOICES_BY_TIME : LIKELY_TARGETS;
   }
 
   /**
--- a/core/src/test/java/io/moorstage/core/balancer/FlowLocatorTest.java
+++ b/core/src/test/java/io/moorstage/core/balancer/FlowLocatorTest.java
@@ -233,6 +233,21 @@
     assertThat(actions.reset).isEmpty();
   }
 
+  // The service times may have differed when the flow was placed, or at another balancer. Otherwise
+  // the open flow is reset.
+  @Test
+  void flowPlacedByServiceTimeIsKeptThoughTimesAreNoLongerKnown() {
+    int holder = addressesByRank().get(2 * SearchQueries.FIRST_ROUND_SIZE - 1);
+    reportAllAgentsExcept(0);
+    sendClientData();
+    respondToAll(FlowQueryResult.UNLIKELY);
+    giveBackOffers(holder);
+    nowMs += Fleet.POLICY.search().offerTimeoutMs();
+    balancer.onTick(nowMs);
+    assertThat(actions.lastForwardedTo()).isEqualTo(holder);
+    assertThat(actions.reset).isEmpty();
+  }
+
   @Test
   void offersPauseAfterABatchAndContinueUntilAllAgentsHaveGivenTheSegmentBack() {
     reportAllAgentsExcept(0);
