Do not count the flows of an ended target for its successor

Idle open flows of a target that had ended stayed counted as held until the client sent a segment or 65 s passed, so that where flows are long the restarted target seemed full. They are no longer counted once checks have found that the target has ended.

--- a/core/src/main/java/io/moorstage/core/agent/FlowAgent.java
+++ b/core/src/main/java/io/moorstage/core/agent/FlowAgent.java
@@ -118,6 +118,10 @@
       flows.remove(flow, nowMs);
     } else if (flow.isBusy() || flow.isWaiting()) {
       flows.resetLost(flow, flow.acknowledged(), "target-ended", nowMs);
+    } else {
+      // The client is told with its next segment, but the target's successor does not hold the
+      // flow.
+      flow.setHeldCount(null);
     }
   }
 
--- a/core/src/test/java/io/moorstage/core/agent/CapacityReportTest.java
+++ b/core/src/test/java/io/moorstage/core/agent/CapacityReportTest.java
@@ -52,6 +52,24 @@
     assertThat(agent.capacityReport().heldFlows()).isEqualTo(0);
   }
 
+  // Otherwise a target that has restarted gets no long flows while those of its predecessor are
+  // remembered.
+  @Test
+  void flowsOfATargetThatHasEndedAreNotCountedForItsSuccessor() {
+    serve(1, 20);
+    serve(2, 20);
+    agent.onTargetCheck(true, nowMs);
+    agent.onTargetCheck(true, nowMs);
+    assertThat(agent.hasTargetEnded()).isTrue();
+    reportTarget(TargetPhase.READY, false, 2);
+    assertThat(agent.capacityReport().heldFlows()).isEqualTo(0);
+    serve(3, 20);
+    assertThat(agent.capacityReport().heldFlows()).isEqualTo(1);
+    forward(Fleet.data(Fleet.flow(1), 111, 10));
+    receiveFromTarget(Fleet.returned(Fleet.data(Fleet.flow(1), 111, 10)));
+    assertThat(agent.capacityReport().heldFlows()).isEqualTo(1);
+  }
+
   @Test
   void restartedAgentCountsTheFlowsThatItSees() {
     respond(1);
