Log who named the holder of a flow, and report how late a balancer's task runs

A balancer without processor time could not be told from slow agents, and an agent's own report of a flow could not be told from another balancer's name for it: both were logged as located reason=told-by-peer. An agent's report is now told-by-agent, and moorstage_forwarding_tick_delay_ms is the largest delay of the periodic task.

--- a/core/src/main/java/io/moorstage/core/balancer/FlowLocator.java
+++ b/core/src/main/java/io/moorstage/core/balancer/FlowLocator.java
@@ -180,7 +180,7 @@
     if (held || tables.mayHold(flow, holder.record().service())) {
       end(search);
       flow.setHolder(holder, held);
-      sendHeld(search, holder, "told-by-peer", nowMs);
+      sendHeld(search, holder, held ? "told-by-agent" : "told-by-peer", nowMs);
     } else {
       // Another service may have taken over the address since, so the agent there is queried.
       queries.queryNamed(search, holder, nowMs);
--- a/forwarding/src/main/java/io/moorstage/forwarding/daemon/BalancerDaemon.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/daemon/BalancerDaemon.java
@@ -151,6 +151,7 @@
     metrics.gauge(
         ForwardingGauge.SERVICE_TIME_SPREAD_PERCENT,
         () -> Math.round(100 * balancer.serviceTimeSpread(MonotonicClock.nowMs())));
+    metrics.gauge(ForwardingGauge.TICK_DELAY_MS, processorLag::maxDelayMs);
     metrics.gauge(ForwardingGauge.UNUSABLE_ITEMS, source::unusableItems);
     metrics.gauge(ForwardingGauge.ANSWERS_WITHOUT_ERA, source::responsesWithoutEra);
     metrics.gauge(ForwardingGauge.LINES_LEFT_OUT, log::droppedLines);
@@ -216,7 +217,7 @@
       Thread.sleep(MainLoop.TICK_MS);
       throwEndpointFailure();
       long nowMs = MonotonicClock.nowMs();
-      processorLag.recordRun(nowMs - tickEndedAtMs - MainLoop.TICK_MS);
+      processorLag.recordRun(nowMs - tickEndedAtMs - MainLoop.TICK_MS, nowMs);
       keeper.onTick(nowMs);
       balancer.setOrderPeriod(orderPeriod());
       balancer.onTick(nowMs);
--- a/forwarding/src/main/java/io/moorstage/forwarding/metrics/ForwardingGauge.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/metrics/ForwardingGauge.java
@@ -24,6 +24,9 @@
   SERVICE_TIME_SPREAD_PERCENT(
       "Balancer: mean service time of a service's slowest tenth of targets, in percent of that of"
           + " the fastest tenth; the largest of all services."),
+  TICK_DELAY_MS(
+      "Balancer: largest delay of its periodic task in the last 5 to 10 s, in milliseconds; it grows"
+          + " when the process gets too little processor time."),
   UNUSABLE_ITEMS("Items of the source skipped so far because they could not be read."),
   ANSWERS_WITHOUT_ERA("Responses of the source so far without a readable era."),
   LINES_LEFT_OUT("Log lines dropped so far due to the limits per second or a full queue.");
