Reproduce an open flow whose segments all go to a wrong target

A balancer that reads responses late offers a segment to a target that does not hold the flow, takes 30 ms without a returned segment for its consent, and sends the client's retransmissions there: 4 segments in 2,000 ms, none to the target that holds the flow, though its agent has responded.

--- /dev/null
+++ b/core/src/test/java/io/moorstage/core/balancer/UnconfirmedHolderTest.java
@@ -0,0 +1,119 @@
+package io.moorstage.core.balancer;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.moorstage.core.Fleet;
+import io.moorstage.core.flow.FlowId;
+import io.moorstage.core.flow.Segment;
+import io.moorstage.core.log.DecisionLog;
+import io.moorstage.core.message.FlowQueryResult;
+import io.moorstage.core.message.GiveBackReason;
+import io.moorstage.core.placement.TargetPool;
+import io.moorstage.core.placement.TargetSlot;
+import io.moorstage.core.state.TargetPhase;
+import io.moorstage.core.state.TargetRecord;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Guards against open flows whose segments all go to a target that does not hold them. A balancer
+ * without enough processor time reads responses and returned segments seconds late, and must not
+ * take that silence for a target's consent.
+ */
+class UnconfirmedHolderTest {
+  private static final int TARGETS = 60;
+  private static final int FIRST_ADDRESS = 0x0A010010;
+  private static final int LOW_RANK = 30;
+  private static final int TICK_MS = 20;
+
+  /** When a client repeats a segment without a response, in milliseconds. */
+  private static final Set<Integer> RETRANSMISSIONS_MS = Set.of(200, 600, 1_400);
+
+  /** The time without a segment at the holder after which an open flow counts as broken. */
+  private static final int PERIOD_MS = 2_000;
+
+  /** Three segments at other targets within the period break the flow. */
+  private static final int MAX_MISROUTED = 2;
+
+  private static final FlowId FLOW = Fleet.flow(1);
+  private static final Segment DATA = Fleet.data(FLOW, 101, 10);
+
+  private final Fleet.RecordingBalancerActions actions = new Fleet.RecordingBalancerActions();
+  private final List<TargetSlot> byLikelihood = new ArrayList<>();
+  private FlowBalancer balancer;
+  private long nowMs = 100_000;
+  private int answeredQueries;
+
+  @BeforeEach
+  void start() {
+    balancer = new FlowBalancer(Fleet.POLICY, Fleet.ZONE, actions, DecisionLog.NONE, 0);
+    List<TargetRecord> targets = new ArrayList<>();
+    List<TargetSlot> slots = new ArrayList<>();
+    for (int i = 0; i < TARGETS; i++) {
+      targets.add(Fleet.target(FIRST_ADDRESS + i, TargetPhase.READY, 1));
+      slots.add(new TargetSlot(targets.get(i), 0));
+    }
+    byLikelihood.addAll(TargetPool.byLikelihood(slots, Fleet.ZONE, FLOW));
+    balancer.onState(Fleet.state(5, targets.toArray(new TargetRecord[0])), nowMs);
+    reportAgents();
+  }
+
+  private int addressOfRank(int rank) {
+    return byLikelihood.get(rank).address();
+  }
+
+  private void reportAgents() {
+    for (TargetSlot slot : byLikelihood) {
+      balancer.onAgentReport(Fleet.agent(slot.address()), nowMs);
+    }
+  }
+
+  private void sendClientData() {
+    balancer.onClientSegment(DATA, Fleet.bytes(DATA), nowMs);
+  }
+
+  private void giveBack(int agent) {
+    balancer.onGivenBack(agent, GiveBackReason.NOT_HELD, 1, DATA, Fleet.bytes(DATA), nowMs);
+  }
+
+  /** Responds that the flow is unknown to all queries except those to one agent. */
+  private void respondUnknownExcept(int unreadAgent) {
+    while (answeredQueries < actions.queried.size()) {
+      int agent = actions.queried.get(answeredQueries);
+      answeredQueries++;
+      if (agent != unreadAgent) {
+        balancer.onQueryResult(agent, FLOW, FlowQueryResult.UNKNOWN, agent, nowMs);
+      }
+    }
+  }
+
+  /** Runs the period with the client's retransmissions; no segment is given back meanwhile. */
+  private void runPeriod(int unreadAgent) {
+    sendClientData();
+    respondUnknownExcept(unreadAgent);
+    for (int passedMs = TICK_MS; passedMs <= PERIOD_MS; passedMs += TICK_MS) {
+      nowMs += TICK_MS;
+      reportAgents();
+      if (RETRANSMISSIONS_MS.contains(passedMs)) {
+        sendClientData();
+      }
+      balancer.onTick(nowMs);
+      respondUnknownExcept(unreadAgent);
+    }
+  }
+
+  private List<Integer> misrouted(int holder) {
+    return actions.forwardedTo.stream().filter(to -> to != holder).collect(Collectors.toList());
+  }
+
+  @Test
+  void fewSegmentsFollowAnOfferWhileTheResponseOfTheHoldersAgentIsUnread() {
+    int holder = addressOfRank(LOW_RANK);
+    runPeriod(holder);
+    assertThat(misrouted(holder).size()).isAtMost(MAX_MISROUTED);
+  }
+}
