Take a target for the holder of a flow only once its agent has reported that

The limit of two speculative offers did not count what followed them.

Such a target is now unconfirmed: the queries of the search go on, it gets two segments, and a third one of the client resumes the search. Its agent confirms it, in response to a query or at the target's first segment of the flow. Silence can thus misroute two segments, which is below what breaks a flow.

--- a/core/src/main/java/io/moorstage/core/agent/AgentActions.java
+++ b/core/src/main/java/io/moorstage/core/agent/AgentActions.java
@@ -17,6 +17,9 @@
   void giveBack(
       int balancerAddress, GiveBackReason reason, long configurationVersion, ByteBuffer datagram);
 
+  /** Reports to a balancer that the target holds a flow that the balancer has offered. */
+  void reportHeld(int balancerAddress, FlowId flow);
+
   /**
    * Starts a check whether the target's process accepts connections; its result goes to {@link
    * FlowAgent#onTargetCheck}.
--- a/core/src/main/java/io/moorstage/core/agent/TargetSegments.java
+++ b/core/src/main/java/io/moorstage/core/agent/TargetSegments.java
@@ -48,7 +48,11 @@
     }
     // An earlier process of the agent delivered the opening, or the target holds an offered flow.
     flows.requests().discardWaitingOpening(segment.flow());
+    boolean wasOffered = flow.stage() == AgentFlow.Stage.OFFERED;
     flow.onTargetSegment(segment, nowMs);
+    if (wasOffered && flow.stage() == AgentFlow.Stage.OPEN) {
+      actions.reportHeld(flow.balancerAddress(), flow.id());
+    }
     flows.requests().onAccepted(flow, nowMs);
     actions.sendToClient(segment.flow(), datagram);
     if (segment.dataBytes() > 0) {
--- a/core/src/main/java/io/moorstage/core/balancer/BalancerFlow.java
+++ b/core/src/main/java/io/moorstage/core/balancer/BalancerFlow.java
@@ -63,10 +63,13 @@
   private Search.Stage stage = IDLE;
 
   /**
-   * The number of offers, over all searches, that were made while an agent that may know the flow
-   * had not responded.
+   * The number of segments, over all searches, that were sent to unconfirmed targets while an agent
+   * that may know the flow had not responded.
    */
-  private int speculativeOffers;
+  private int speculativeSegments;
+
+  /** The number of segments sent to the target since it was last assumed to be the holder. */
+  private int unconfirmedSegments;
 
   private BalancerFlow(FlowId id, String service, boolean targetResponded, long nowMs) {
     this.id = id;
@@ -309,10 +312,15 @@
     return stage instanceof Search.Offered offered ? offered.target() : null;
   }
 
-  /** Returns the search that ended with a kept offer which has not been returned since, or null. */
+  /** Returns the search that goes on while the target is not confirmed as the holder, or null. */
   @Nullable
-  Search endedSearch() {
-    return stage instanceof Search.KeptOffer kept ? kept.search() : null;
+  Search unconfirmedSearch() {
+    return stage instanceof Search.Unconfirmed unconfirmed ? unconfirmed.search() : null;
+  }
+
+  /** Returns for how long the target has been assumed to be the holder, in milliseconds. */
+  long unconfirmedMs(long nowMs) {
+    return stage instanceof Search.Unconfirmed unconfirmed ? nowMs - unconfirmed.sinceMs() : 0;
   }
 
   /** Returns whether the last search ended without a result. */
@@ -320,15 +328,23 @@
     return stage instanceof Search.NotFound;
   }
 
-  int speculativeOffers() {
-    return speculativeOffers;
+  int speculativeSegments() {
+    return speculativeSegments;
+  }
+
+  void countSpeculativeSegment() {
+    speculativeSegments++;
+  }
+
+  int unconfirmedSegments() {
+    return unconfirmedSegments;
   }
 
-  void countSpeculativeOffer() {
-    speculativeOffers++;
+  void countUnconfirmedSegment() {
+    unconfirmedSegments++;
   }
 
-  /** Starts a search or resumes an ended one; the flow's target is unknown from then on. */
+  /** Starts or resumes a search; the flow's target is unknown from then on. */
   void beginSearch(Search search) {
     requireStage(!isSearching());
     moveTo(null);
@@ -349,27 +365,31 @@
     stage = new Search.Querying(offered().search());
   }
 
-  /**
-   * Ends the search because the flow was located or lost, or because a kept offer is superseded.
-   */
+  /** Ends the search because the flow was located or lost. */
   void endSearch() {
-    requireStage(isSearching() || endedSearch() != null);
+    requireStage(isSearching() || unconfirmedSearch() != null);
     stage = IDLE;
+    speculativeSegments = 0;
   }
 
-  /**
-   * Ends the search with the target that has kept the offered segment. It is treated as the holder
-   * unless its agent gives the segment back later.
-   */
-  void markOfferKept() {
-    Search.Offered offered = offered();
-    moveTo(offered.target());
-    stage = new Search.KeptOffer(offered.search());
+  /** Assumes that the target of the pending offer holds the flow, as it kept the segment. */
+  void assumeOfferKept(long nowMs) {
+    assumeHolder(offered().target(), nowMs);
+    unconfirmedSegments = 1;
   }
 
-  /** Ends the search without a result. */
-  void giveUpSearch() {
+  /** Assumes that a target holds the flow until its agent reports or denies that. */
+  void assumeHolder(TargetSlot assumed, long nowMs) {
     requireStage(isSearching());
+    stage = new Search.Unconfirmed(search(), nowMs);
+    moveTo(assumed);
+    unconfirmedSegments = 0;
+  }
+
+  /** Ends the search without a result; the flow's target is unknown from then on. */
+  void giveUpSearch() {
+    requireStage(isSearching() || unconfirmedSearch() != null);
+    moveTo(null);
     stage = NOT_FOUND;
   }
 
--- a/core/src/main/java/io/moorstage/core/balancer/FlowBalancer.java
+++ b/core/src/main/java/io/moorstage/core/balancer/FlowBalancer.java
@@ -206,11 +206,18 @@
       locator.startSearch(flow, segment, datagram, nowMs);
       return;
     }
-    if (!flow.hasTargetResponded()) {
-      flow.confirmByClient();
-      target.clearSuspicion();
+    Search unconfirmed = flow.unconfirmedSearch();
+    if (unconfirmed != null) {
+      if (!locator.forwardUnconfirmed(unconfirmed, segment, datagram, nowMs)) {
+        return;
+      }
+    } else {
+      if (!flow.hasTargetResponded()) {
+        flow.confirmByClient();
+        target.clearSuspicion();
+      }
+      tables.send(flow, target, datagram);
     }
-    tables.send(flow, target, datagram);
     if (segment.kind() == Segment.Kind.CLOSE || segment.kind() == Segment.Kind.RESET) {
       flow.close();
     }
--- a/core/src/main/java/io/moorstage/core/balancer/FlowLocator.java
+++ b/core/src/main/java/io/moorstage/core/balancer/FlowLocator.java
@@ -11,6 +11,7 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
+import javax.annotation.Nullable;
 
 /**
  * Locates the target of flows that this balancer does not know: queries agents and other balancers,
@@ -19,9 +20,10 @@
  *
  * <p>This class handles the events (segments, responses, time) and advances each {@link Search}.
  * {@link SearchQueries} selects the agents to query, {@link SearchOffers} selects the targets that
- * are offered a segment, and {@link SearchVerdict} decides how a search without a result ends. Any
- * agent may be queried; a segment is offered only to targets of services that the flow's route has
- * or is known to have had.
+ * are offered a segment, {@link UnconfirmedHolders} limits what a target gets that may hold the
+ * flow, and {@link SearchVerdict} decides how a search without a result ends. Any agent may be
+ * queried; a segment is offered only to targets of services that the flow's route has or is known
+ * to have had.
  */
 final class FlowLocator {
   private final SearchSettings settings;
@@ -30,6 +32,7 @@
   private final BalancerTables tables;
   private final SearchQueries queries;
   private final SearchOffers offers;
+  private final UnconfirmedHolders unconfirmedHolders;
   private final List<Search> searches = new ArrayList<>();
 
   FlowLocator(
@@ -40,6 +43,7 @@
     this.tables = tables;
     this.queries = new SearchQueries(settings, actions, tables);
     this.offers = new SearchOffers(settings, log, tables);
+    this.unconfirmedHolders = new UnconfirmedHolders(settings, tables, queries);
   }
 
   /**
@@ -53,22 +57,26 @@
       return;
     }
     flow.addNonHolder(agentAddress);
-    Search ended = flow.endedSearch();
+    Search unconfirmed = flow.unconfirmedSearch();
     Search search = flow.search();
-    if (ended != null) {
-      onOfferGivenBackLate(ended, datagram, nowMs);
+    if (unconfirmed != null) {
+      onGivenBackWhileUnconfirmed(unconfirmed, agentAddress, datagram, nowMs);
     } else if (search != null) {
-      onGivenBackDuringSearch(search, agentAddress, nowMs);
+      onGivenBackDuringSearch(search, agentAddress, datagram, nowMs);
     } else {
       onGivenBackWithoutSearch(flow, agentAddress, segment, datagram, nowMs);
     }
   }
 
-  private void onGivenBackDuringSearch(Search search, int agentAddress, long nowMs) {
+  private void onGivenBackDuringSearch(
+      Search search, int agentAddress, ByteBuffer datagram, long nowMs) {
+    search.exclude(agentAddress);
     TargetSlot offeredTo = search.flow().offeredTo();
     if (offeredTo != null && offeredTo.address() == agentAddress) {
       search.flow().markOfferGivenBack();
       offerNext(search, nowMs);
+    } else {
+      search.hold(datagram, settings.maxHeldSegments());
     }
   }
 
@@ -92,23 +100,62 @@
     startSearch(flow, segment, datagram, nowMs);
   }
 
-  // An overloaded machine gave back the offered segment only after the offer timeout. The search
-  // resumes with its remaining candidates, so that the agents are not queried again.
-  private void onOfferGivenBackLate(Search search, ByteBuffer datagram, long nowMs) {
-    BalancerFlow flow = search.flow();
-    flow.endSearch();
-    TargetSlot target = flow.target();
-    if (target != null && !flow.isNonHolder(target.address())) {
+  // An overloaded machine gave back the segment only after the offer timeout, or another balancer
+  // named a wrong target.
+  private void onGivenBackWhileUnconfirmed(
+      Search search, int agentAddress, ByteBuffer datagram, long nowMs) {
+    search.exclude(agentAddress);
+    if (search.flow().target().address() == agentAddress) {
+      search.holdFirst(datagram, settings.maxHeldSegments());
+      resume(search, "offer-returned-late", nowMs);
+    } else {
       // The segment came from another target; the current one may still hold the flow.
-      tables.send(flow, target, datagram);
-      return;
+      search.hold(datagram, settings.maxHeldSegments());
+      unconfirmedHolders.sendHeld(search, nowMs);
     }
+  }
+
+  // The search resumes with its remaining candidates, so that the agents are not queried again.
+  private void resume(Search search, String reason, long nowMs) {
+    BalancerFlow flow = search.flow();
     flow.beginSearch(search);
-    searches.add(search);
-    search.replaceHeld(datagram, settings.maxHeldSegments());
-    long ageMs = tables.ageOfState(nowMs);
-    log.decided(Decision.ASKED, flow.id(), 0, "offer-returned-late", ageMs);
-    offerNext(search, nowMs);
+    if (!searches.contains(search)) {
+      searches.add(search);
+    }
+    log.decided(Decision.ASKED, flow.id(), 0, reason, tables.ageOfState(nowMs));
+    if (search.hasAgentsToQuery()) {
+      queries.queryNextRound(search, nowMs);
+    } else if (search.hasNothingPending()) {
+      queryOtherServicesOrOffer(search, nowMs);
+    }
+  }
+
+  /**
+   * Handles a client's segment of a flow whose target is not confirmed as the holder.
+   *
+   * @return whether the segment was forwarded; otherwise it is held
+   */
+  boolean forwardUnconfirmed(Search search, Segment segment, ByteBuffer datagram, long nowMs) {
+    if (unconfirmedHolders.mayForward(search, nowMs)) {
+      unconfirmedHolders.forward(search, datagram);
+      return true;
+    }
+    BalancerFlow flow = search.flow();
+    if (nowMs - search.startedAtMs() >= settings.durationMs()) {
+      searches.remove(search);
+      flow.giveUpSearch();
+      startSearch(flow, segment, datagram, nowMs);
+      return false;
+    }
+    search.hold(datagram, settings.maxHeldSegments());
+    if (flow.unconfirmedMs(nowMs) >= settings.pauseMs()) {
+      // The target has left the client's segments without a response.
+      TargetSlot target = flow.target();
+      search.cancelQuery(target.address());
+      search.addCandidateAgain(target);
+      resume(search, "not-confirmed", nowMs);
+    }
+    return false;
   }
 
   /** Starts the search for the target of an open flow that is not in the flow table. */
@@ -152,39 +199,63 @@
     if (flow == null) {
       return;
     }
-    Search search = flow.search();
+    Search unconfirmed = flow.unconfirmedSearch();
+    Search search = unconfirmed == null ? flow.search() : unconfirmed;
     if (search == null) {
-      if (flow.endedSearch() != null && result == FlowQueryResult.HELD) {
-        onHolderReportedLate(flow, targetAddress, nowMs);
-      }
       return;
     }
     switch (result) {
-      case HELD, KNOWN_ELSEWHERE -> onHolderReported(search, result, targetAddress, nowMs);
+      case HELD -> onHolderReported(search, targetAddress, nowMs);
+      case KNOWN_ELSEWHERE -> onHolderNamed(search, targetAddress, nowMs);
       case LOST -> onLossReported(search, peerAddress);
-      case UNKNOWN, UNLIKELY, NOT_HELD -> onAgentResponse(search, peerAddress, result, nowMs);
+      case UNKNOWN, UNLIKELY, NOT_HELD -> {
+        if (unconfirmed == null) {
+          onAgentResponse(search, peerAddress, result, nowMs);
+        } else {
+          onResponseWhileUnconfirmed(unconfirmed, peerAddress, result, nowMs);
+        }
+      }
     }
   }
 
-  private void onHolderReported(
-      Search search, FlowQueryResult result, int targetAddress, long nowMs) {
+  // Another balancer may name a target whose agent has already given back a segment of the flow
+  // here.
+  @Nullable
+  private TargetSlot possibleHolder(BalancerFlow flow, int targetAddress) {
+    return flow.isNonHolder(targetAddress) ? null : tables.targetOfAgent(flow, targetAddress);
+  }
+
+  private void onHolderReported(Search search, int targetAddress, long nowMs) {
     BalancerFlow flow = search.flow();
-    // Another balancer may name a target whose agent has already given back a segment of the flow
-    // here.
-    boolean isNonHolder = flow.isNonHolder(targetAddress);
-    TargetSlot holder = isNonHolder ? null : tables.targetOfAgent(flow, targetAddress);
-    if (holder == null) {
+    TargetSlot holder = possibleHolder(flow, targetAddress);
+    if (holder != null) {
+      String reason = flow.isSearching() ? "told-by-agent" : "told-late";
+      end(search);
+      flow.setHolder(holder, true);
+      sendHeld(search, holder, reason, nowMs);
+    }
+  }
+
+  private void onHolderNamed(Search search, int targetAddress, long nowMs) {
+    BalancerFlow flow = search.flow();
+    TargetSlot named = possibleHolder(flow, targetAddress);
+    if (named == null) {
       return;
     }
-    boolean held = result == FlowQueryResult.HELD;
-    if (held || tables.mayHold(flow, holder.record().service())) {
-      end(search);
-      flow.setHolder(holder, held);
-      sendHeld(search, holder, held ? "told-by-agent" : "told-by-peer", nowMs);
-    } else {
+    if (!flow.isSearching() || !tables.mayHold(flow, named.record().service())) {
       // Another service may have taken over the address since, so the agent there is queried.
-      queries.queryNamed(search, holder, nowMs);
+      queries.queryNamed(search, named, nowMs);
+      return;
     }
+    TargetSlot offeredTo = flow.offeredTo();
+    flow.assumeHolder(named, nowMs);
+    if (offeredTo != null) {
+      search.addCandidateAgain(offeredTo);
+    }
+    logLocated(flow, named, "told-by-peer", nowMs);
+    queries.queryHolder(search, named, nowMs);
+    search.waitUntil(nowMs + settings.responseTimeoutMs());
+    unconfirmedHolders.sendHeld(search, nowMs);
   }
 
   private void onLossReported(Search search, int peerAddress) {
@@ -195,16 +266,28 @@
     tables.remove(flow);
   }
 
-  // The response arrived only after another target had kept the offered segment.
-  private void onHolderReportedLate(BalancerFlow flow, int targetAddress, long nowMs) {
-    TargetSlot holder = tables.targetOfAgent(flow, targetAddress);
-    if (holder == null || flow.isNonHolder(targetAddress)) {
+  private void onResponseWhileUnconfirmed(
+      Search search, int agentAddress, FlowQueryResult result, long nowMs) {
+    TargetSlot slot = search.removePending(agentAddress);
+    if (slot == null) {
       return;
     }
-    flow.endSearch();
-    flow.setHolder(holder, true);
-    long ageMs = nowMs - flow.lastUsedMs();
-    log.decided(Decision.LOCATED, flow.id(), targetAddress, "told-late", ageMs);
+    BalancerFlow flow = search.flow();
+    if (flow.target().address() != agentAddress) {
+      offers.addResponse(search, slot, result);
+    } else if (result == FlowQueryResult.NOT_HELD) {
+      flow.addNonHolder(agentAddress);
+      onTargetDenied(search, nowMs);
+    }
+  }
+
+  private void onTargetDenied(Search search, long nowMs) {
+    if (search.hasHeldSegments()) {
+      resume(search, "not-held", nowMs);
+    } else {
+      searches.remove(search);
+      search.flow().giveUpSearch();
+    }
   }
 
   private void onAgentResponse(
@@ -232,7 +315,11 @@
 
   private void advance(Search search, long nowMs) {
     TargetSlot offeredTo = search.flow().offeredTo();
-    if (offeredTo != null) {
+    if (search.flow().unconfirmedSearch() == search) {
+      if (!unconfirmedHolders.continueQueries(search, nowMs)) {
+        searches.remove(search);
+      }
+    } else if (offeredTo != null) {
       onOfferKept(search, offeredTo, nowMs);
     } else if (search.hasAgentsToQuery()) {
       queries.queryNextRound(search, nowMs);
@@ -263,22 +350,25 @@
     }
   }
 
-  private void onOfferKept(Search search, TargetSlot holder, long nowMs) {
-    BalancerFlow flow = search.flow();
-    search.dropOfferedSegment();
-    searches.remove(search);
-    flow.markOfferKept();
-    sendHeld(search, holder, "kept-offer", nowMs);
+  private void onOfferKept(Search search, TargetSlot target, long nowMs) {
+    search.pollHeld();
+    search.flow().assumeOfferKept(nowMs);
+    search.waitUntil(nowMs + settings.pauseMs());
+    logLocated(search.flow(), target, "kept-offer", nowMs);
+    unconfirmedHolders.sendHeld(search, nowMs);
   }
 
   private void sendHeld(Search search, TargetSlot holder, String reason, long nowMs) {
-    BalancerFlow flow = search.flow();
-    log.decided(Decision.LOCATED, flow.id(), holder.address(), reason, nowMs - flow.lastUsedMs());
-    for (byte[] datagram : search.heldSegments()) {
-      tables.send(flow, holder, ByteBuffer.wrap(datagram));
+    logLocated(search.flow(), holder, reason, nowMs);
+    while (search.hasHeldSegments()) {
+      tables.send(search.flow(), holder, search.pollHeld());
     }
   }
 
+  private void logLocated(BalancerFlow flow, TargetSlot holder, String reason, long nowMs) {
+    log.decided(Decision.LOCATED, flow.id(), holder.address(), reason, nowMs - flow.lastUsedMs());
+  }
+
   private void conclude(Search search, long nowMs) {
     BalancerFlow flow = search.flow();
     long ageMs = tables.ageOfState(nowMs);
--- a/core/src/main/java/io/moorstage/core/balancer/Search.java
+++ b/core/src/main/java/io/moorstage/core/balancer/Search.java
@@ -21,7 +21,7 @@
 final class Search {
 
   /** The stage of locating the target of a flow. */
-  sealed interface Stage permits Idle, Searching, KeptOffer, NotFound {}
+  sealed interface Stage permits Idle, Searching, Unconfirmed, NotFound {}
 
   /** No search is in progress: the target is set, or no search has started yet. */
   record Idle() implements Stage {}
@@ -38,10 +38,10 @@
   record Offered(Search search, TargetSlot target) implements Searching {}
 
   /**
-   * The offered segment was not given back in time. The target is treated as the holder unless its
-   * agent gives the segment back later.
+   * The flow's target may hold the flow, but its agent has not reported that: an offered segment
+   * was not given back in time, or another balancer has named the target. The search goes on.
    */
-  record KeptOffer(Search search) implements Stage {}
+  record Unconfirmed(Search search, long sinceMs) implements Stage {}
 
   /** The last search ended without a result: it neither located the flow nor proved it lost. */
   record NotFound() implements Stage {}
@@ -118,23 +118,26 @@
     }
   }
 
-  /** Holds a segment that was given back, and discards those held before. */
-  void replaceHeld(ByteBuffer datagram, int maxHeld) {
-    heldSegments.clear();
-    hold(datagram, maxHeld);
+  /** Holds a segment that was given back, before all others. */
+  void holdFirst(ByteBuffer datagram, int maxHeld) {
+    if (heldSegments.size() == maxHeld) {
+      heldSegments.remove(maxHeld - 1);
+    }
+    heldSegments.add(0, Datagrams.copyOf(datagram));
   }
 
   ByteBuffer offeredSegment() {
     return ByteBuffer.wrap(heldSegments.get(0));
   }
 
-  /** Discards the offered segment, since the target that kept it already has it. */
-  void dropOfferedSegment() {
-    heldSegments.remove(0);
+  /** Removes and returns the segment that is held first, or null if none is held. */
+  @Nullable
+  ByteBuffer pollHeld() {
+    return heldSegments.isEmpty() ? null : ByteBuffer.wrap(heldSegments.remove(0));
   }
 
-  List<byte[]> heldSegments() {
-    return heldSegments;
+  boolean hasHeldSegments() {
+    return !heldSegments.isEmpty();
   }
 
   /** Adds targets whose agents are to be queried, except those added before. */
@@ -227,6 +230,28 @@
     return !unresponsive.isEmpty();
   }
 
+  /** Returns whether the agent of another target is still to be queried or has not responded. */
+  boolean awaitsOtherAgentThan(int address) {
+    return !otherServicesQueried
+        || hasOther(toQuery, address)
+        || hasOther(pending, address)
+        || hasOther(unresponsive, address);
+  }
+
+  /** Returns whether a target other than one may still be offered a segment. */
+  boolean hasOtherCandidateThan(int address) {
+    return hasOther(candidates, address);
+  }
+
+  private static boolean hasOther(Collection<TargetSlot> slots, int address) {
+    for (TargetSlot slot : slots) {
+      if (slot.address() != address) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Returns the address of the first agent that has not responded in time; 0 if there is none. */
   int firstUnresponsiveAddress() {
     return unresponsive.isEmpty() ? 0 : unresponsive.get(0).address();
@@ -260,10 +285,29 @@
     return null;
   }
 
+  /** Adds a candidate, unless there is one with its address. */
   void addCandidate(TargetSlot slot) {
+    for (TargetSlot candidate : candidates) {
+      if (candidate.address() == slot.address()) {
+        return;
+      }
+    }
     candidates.add(slot);
   }
 
+  /** Adds a target that has been sent segments without a result; all other candidates go first. */
+  void addCandidateAgain(TargetSlot slot) {
+    byLikelihood.remove(Integer.valueOf(slot.address()));
+    byLikelihood.add(slot.address());
+    addCandidate(slot);
+  }
+
+  /** Removes a target that does not hold the flow from the candidates and the queries. */
+  void exclude(int address) {
+    removeAt(candidates, address);
+    cancelQuery(address);
+  }
+
   int candidateCount() {
     return candidates.size();
   }
--- a/core/src/main/java/io/moorstage/core/balancer/SearchOffers.java
+++ b/core/src/main/java/io/moorstage/core/balancer/SearchOffers.java
@@ -19,10 +19,10 @@
  * the flow is a candidate only if it is one of the {@link SearchQueries#FIRST_ROUND_SIZE} most
  * likely, or of twice as many with placement by service times. Offers are made one at a time, the
  * most likely target first, and only when no response is pending: a target returns a segment of an
- * unknown flow at once, and is treated as the holder if it keeps the segment for {@code
- * offerTimeoutMs}. After a batch of offers the search pauses for {@code pauseMs} and then queries
- * again. While an agent that may know the flow has not responded, at most {@value
- * #MAX_SPECULATIVE_OFFERS} offers are made for the flow.
+ * unknown flow at once, and is assumed to be the holder if it keeps the segment for {@code
+ * offerTimeoutMs} ({@link UnconfirmedHolders}). After a batch of offers the search pauses for
+ * {@code pauseMs} and then queries again. While an agent that may know the flow has not responded,
+ * at most {@value #MAX_SPECULATIVE_SEGMENTS} segments of the flow are sent.
  *
  * <p>An agent that has run for less than the time a flow is remembered does not know all flows of
  * its target; the target does. Each wrong offer reaches a target that does not hold the flow, so
@@ -39,10 +39,11 @@
   private static final int BATCHES = 4;
 
   /**
-   * The maximum number of offers for a flow while an agent that may know it has not responded. The
-   * flow may be at that agent's target, and three segments sent to wrong targets break a flow.
+   * The maximum number of segments of a flow that are sent to unconfirmed targets while an agent
+   * that may know the flow has not responded. The flow may be at that agent's target, and three
+   * segments sent to wrong targets break a flow.
    */
-  static final int MAX_SPECULATIVE_OFFERS = 2;
+  static final int MAX_SPECULATIVE_SEGMENTS = 2;
 
   private final SearchSettings settings;
   private final DecisionLog log;
@@ -79,7 +80,8 @@
    */
   boolean offerNext(Search search, long nowMs) {
     boolean speculative = search.hasUnresponsive();
-    boolean mayOffer = !speculative || search.flow().speculativeOffers() < MAX_SPECULATIVE_OFFERS;
+    boolean mayOffer =
+        !speculative || search.flow().speculativeSegments() < MAX_SPECULATIVE_SEGMENTS;
     if (search.candidateCount() == 0 || !mayOffer) {
       return false;
     }
@@ -100,7 +102,7 @@
     TargetSlot target = search.removeLikeliestCandidate();
     search.countOffer();
     if (speculative) {
-      flow.countSpeculativeOffer();
+      flow.countSpeculativeSegment();
     }
     flow.offerTo(target);
     search.waitUntil(nowMs + settings.offerTimeoutMs());
--- a/core/src/main/java/io/moorstage/core/balancer/SearchQueries.java
+++ b/core/src/main/java/io/moorstage/core/balancer/SearchQueries.java
@@ -114,6 +114,12 @@
     }
   }
 
+  /** Queries the agent of the target that is assumed to be the holder. */
+  void queryHolder(Search search, TargetSlot holder, long nowMs) {
+    search.cancelQuery(holder.address());
+    query(search, holder, nowMs);
+  }
+
   private void queryRound(Search search, int count, long nowMs) {
     int queried = 0;
     while (queried < count && search.hasAgentsToQuery()) {
--- a/core/src/main/java/io/moorstage/core/settings/SearchSettings.java
+++ b/core/src/main/java/io/moorstage/core/settings/SearchSettings.java
@@ -7,7 +7,8 @@
  * @param durationMs how long a search continues while agents do not respond, in milliseconds
  * @param pauseMs how long a search waits before it queries agents again, in milliseconds
  * @param offerTimeoutMs how long a balancer waits for an offered segment to be given back, in
- *     milliseconds; if it has not been given back by then, its target counts as the flow's holder
+ *     milliseconds; if it has not been given back by then, its target is assumed to be the flow's
+ *     holder until its agent reports or denies that
  * @param maxHeldSegments the most segments of one flow that are held during its search
  * @param agentDiscoveryMs how long a balancer must have run before it assumes that it knows all
  *     agents, in milliseconds
--- a/core/src/test/java/io/moorstage/core/Fleet.java
+++ b/core/src/test/java/io/moorstage/core/Fleet.java
@@ -199,6 +199,7 @@
     public final List<String> delivered = new ArrayList<>();
     public final List<FlowId> toClients = new ArrayList<>();
     public final List<GiveBackReason> givenBack = new ArrayList<>();
+    public final List<FlowId> reportedHeld = new ArrayList<>();
     public final List<FlowId> reset = new ArrayList<>();
     public int targetChecks;
 
@@ -207,6 +208,11 @@
       targetChecks++;
     }
 
+    @Override
+    public void reportHeld(int balancer, FlowId flow) {
+      reportedHeld.add(flow);
+    }
+
     @Override
     public void deliver(ByteBuffer datagram) {
       byte[] copy = new byte[datagram.remaining()];
--- a/core/src/test/java/io/moorstage/core/agent/FlowAgentTest.java
+++ b/core/src/test/java/io/moorstage/core/agent/FlowAgentTest.java
@@ -111,6 +111,16 @@
     assertThat(agent.onQuery(Fleet.flow(1), nowMs)).isEqualTo(FlowQueryResult.NOT_HELD);
   }
 
+  // A balancer takes a target for the holder of a flow only once its agent has reported that.
+  @Test
+  void firstSegmentOfTheTargetOnAnOfferedFlowIsReportedToTheBalancer() {
+    forward(Fleet.data(Fleet.flow(1), 101, 10));
+    assertThat(actions.reportedHeld).isEmpty();
+    respond(1);
+    respond(1);
+    assertThat(actions.reportedHeld).containsExactly(Fleet.flow(1));
+  }
+
   @Test
   void restartedAgentRebuildsItsFlowsFromTheTargetsSegments() {
     assertThat(agent.onQuery(Fleet.flow(1), nowMs)).isEqualTo(FlowQueryResult.UNKNOWN);
--- a/core/src/test/java/io/moorstage/core/agent/ReplayNode.java
+++ b/core/src/test/java/io/moorstage/core/agent/ReplayNode.java
@@ -288,6 +288,9 @@
         OverloadReplay.NETWORK_MS, () -> replay.onGivenBack(attempt, segment.copy(), reason));
   }
 
+  @Override
+  public void reportHeld(int balancerAddress, FlowId flow) {}
+
   @Override
   public void checkTarget() {
     int atIncarnation = incarnation;
--- a/core/src/test/java/io/moorstage/core/balancer/BalancerFlowTest.java
+++ b/core/src/test/java/io/moorstage/core/balancer/BalancerFlowTest.java
@@ -21,11 +21,11 @@
   void targetThatKeepsTheOfferedSegmentIsTreatedAsTheHolder() {
     flow.beginSearch(search);
     flow.offerTo(target);
-    flow.markOfferKept();
+    flow.assumeOfferKept(NOW_MS);
 
     assertThat(flow.target()).isEqualTo(target);
     assertThat(flow.isSearching()).isFalse();
-    assertThat(flow.endedSearch()).isEqualTo(search);
+    assertThat(flow.unconfirmedSearch()).isEqualTo(search);
   }
 
   @Test
@@ -67,7 +67,7 @@
     flow.beginSearch(search);
 
     assertThrows(IllegalStateException.class, flow::markOfferGivenBack);
-    assertThrows(IllegalStateException.class, flow::markOfferKept);
+    assertThrows(IllegalStateException.class, () -> flow.assumeOfferKept(NOW_MS));
   }
 
   @Test
--- a/core/src/test/java/io/moorstage/core/balancer/FlowLocatorTest.java
+++ b/core/src/test/java/io/moorstage/core/balancer/FlowLocatorTest.java
@@ -296,7 +296,7 @@
         giveBackOffers(0);
       }
     }
-    assertThat(actions.forwardedTo.size()).isAtMost(SearchOffers.MAX_SPECULATIVE_OFFERS);
+    assertThat(actions.forwardedTo.size()).isAtMost(SearchOffers.MAX_SPECULATIVE_SEGMENTS);
     assertThat(actions.reset).isEmpty();
   }
 
--- a/core/src/test/java/io/moorstage/core/balancer/UnconfirmedHolderTest.java
+++ b/core/src/test/java/io/moorstage/core/balancer/UnconfirmedHolderTest.java
@@ -116,4 +116,92 @@
     runPeriod(holder);
     assertThat(misrouted(holder).size()).isAtMost(MAX_MISROUTED);
   }
+
+  @Test
+  void searchGoesOnThoughAWrongTargetsReturnedSegmentsAreUnread() {
+    int holder = addressOfRank(2);
+    sendClientData();
+    respondUnknownExcept(0);
+    nowMs += Fleet.POLICY.search().offerTimeoutMs();
+    balancer.onTick(nowMs);
+    assertThat(actions.forwardedTo).containsExactly(addressOfRank(0));
+    nowMs += 200;
+    sendClientData();
+    nowMs += 400;
+    sendClientData();
+    respondUnknownExcept(0);
+    assertThat(actions.forwardedTo)
+        .containsExactly(addressOfRank(0), addressOfRank(0), addressOfRank(1))
+        .inOrder();
+    giveBack(addressOfRank(1));
+    assertThat(actions.lastForwardedTo()).isEqualTo(holder);
+    assertThat(actions.reset).isEmpty();
+  }
+
+  @Test
+  void targetWhoseAgentReportsTheFlowGetsAllSegments() {
+    int holder = addressOfRank(0);
+    sendClientData();
+    respondUnknownExcept(0);
+    sendClientData();
+    sendClientData();
+    nowMs += Fleet.POLICY.search().offerTimeoutMs();
+    balancer.onTick(nowMs);
+    assertThat(actions.forwardedTo).containsExactly(holder, holder);
+    balancer.onQueryResult(holder, FLOW, FlowQueryResult.HELD, holder, nowMs);
+    sendClientData();
+    assertThat(actions.forwardedTo).containsExactly(holder, holder, holder, holder);
+  }
+
+  @Test
+  void onlyPossibleHolderGetsAllSegments() {
+    int holder = addressOfRank(TARGETS - 1);
+    sendClientData();
+    while (answeredQueries < actions.queried.size()) {
+      int agent = actions.queried.get(answeredQueries);
+      answeredQueries++;
+      FlowQueryResult result = agent == holder ? FlowQueryResult.UNKNOWN : FlowQueryResult.NOT_HELD;
+      balancer.onQueryResult(agent, FLOW, result, agent, nowMs);
+    }
+    nowMs += Fleet.POLICY.search().offerTimeoutMs();
+    balancer.onTick(nowMs);
+    for (int i = 0; i < 3; i++) {
+      sendClientData();
+    }
+    assertThat(actions.forwardedTo).containsExactly(holder, holder, holder, holder);
+  }
+
+  @Test
+  void fewSegmentsFollowTheNameOfAnotherBalancer() {
+    int holder = addressOfRank(LOW_RANK);
+    int named = addressOfRank(0);
+    sendClientData();
+    balancer.onQueryResult(Fleet.BALANCER, FLOW, FlowQueryResult.KNOWN_ELSEWHERE, named, nowMs);
+    assertThat(actions.forwardedTo).containsExactly(named);
+    runPeriod(holder);
+    assertThat(misrouted(holder).size()).isAtMost(MAX_MISROUTED);
+  }
+
+  @Test
+  void flowIsSearchedForAgainIfTheAgentOfTheNamedTargetDeniesIt() {
+    int holder = addressOfRank(LOW_RANK);
+    int named = addressOfRank(0);
+    sendClientData();
+    balancer.onQueryResult(Fleet.BALANCER, FLOW, FlowQueryResult.KNOWN_ELSEWHERE, named, nowMs);
+    balancer.onQueryResult(named, FLOW, FlowQueryResult.NOT_HELD, named, nowMs);
+    sendClientData();
+    balancer.onQueryResult(holder, FLOW, FlowQueryResult.HELD, holder, nowMs);
+    assertThat(actions.forwardedTo).containsExactly(named, holder).inOrder();
+  }
+
+  @Test
+  void segmentReturnedByTheNamedTargetReachesTheHolder() {
+    int holder = addressOfRank(LOW_RANK);
+    int named = addressOfRank(0);
+    sendClientData();
+    balancer.onQueryResult(Fleet.BALANCER, FLOW, FlowQueryResult.KNOWN_ELSEWHERE, named, nowMs);
+    giveBack(named);
+    balancer.onQueryResult(holder, FLOW, FlowQueryResult.HELD, holder, nowMs);
+    assertThat(actions.forwardedTo).containsExactly(named, holder).inOrder();
+  }
 }
--- a/core/src/test/java/io/moorstage/core/placement/SimulatedFleet.java
+++ b/core/src/test/java/io/moorstage/core/placement/SimulatedFleet.java
@@ -189,6 +189,9 @@
       }
     }
 
+    @Override
+    public void reportHeld(int balancerAddress, FlowId flow) {}
+
     @Override
     public void checkTarget() {
       after(0, () -> agent.onTargetCheck(false, now()));
--- a/forwarding/src/main/java/io/moorstage/forwarding/daemon/AgentDaemon.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/daemon/AgentDaemon.java
@@ -80,7 +80,8 @@
   private FlowAgent createAgent(InetSocketAddress target, AddressCache peerAddresses) {
     PeerSender sender = new PeerSender(peerPort, peerAddresses, metrics);
     ClientSender clients = new ClientSender(targetPort, settings.clientEndpoint().port(), segments);
-    AgentOutput output = new AgentOutput(targetPort, target, targetCheck, clients, sender);
+    AgentOutput output =
+        new AgentOutput(targetPort, target, targetCheck, clients, sender, settings.address());
     long nowMs = MonotonicClock.nowMs();
     return new FlowAgent(settings.policy(), settings.service(), output, metrics, nowMs);
   }
--- a/forwarding/src/main/java/io/moorstage/forwarding/daemon/AgentOutput.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/daemon/AgentOutput.java
@@ -2,6 +2,7 @@
 
 import io.moorstage.core.agent.AgentActions;
 import io.moorstage.core.flow.FlowId;
+import io.moorstage.core.message.FlowQueryResult;
 import io.moorstage.core.message.GiveBackReason;
 import io.moorstage.forwarding.net.TargetCheck;
 import io.moorstage.forwarding.net.UdpPort;
@@ -9,6 +10,7 @@
 import io.moorstage.forwarding.peer.PeerSender;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.util.List;
 
 /**
  * Executes an agent's decisions. The methods are called under the agent's lock, which also guards
@@ -20,18 +22,26 @@
   private final TargetCheck targetCheck;
   private final ClientSender clients;
   private final PeerSender peers;
+  private final int ownAddress;
 
+  /**
+   * Creates an output.
+   *
+   * @param ownAddress the IPv4 address of this machine
+   */
   AgentOutput(
       UdpPort targetPort,
       InetSocketAddress target,
       TargetCheck targetCheck,
       ClientSender clients,
-      PeerSender peers) {
+      PeerSender peers,
+      int ownAddress) {
     this.targetPort = targetPort;
     this.target = target;
     this.targetCheck = targetCheck;
     this.clients = clients;
     this.peers = peers;
+    this.ownAddress = ownAddress;
   }
 
   @Override
@@ -50,6 +60,13 @@
     peers.send(new PeerMessage.GiveBack(reason, version, datagram), balancerAddress);
   }
 
+  @Override
+  public void reportHeld(int balancerAddress, FlowId flow) {
+    PeerMessage.FlowResult held =
+        new PeerMessage.FlowResult(flow, FlowQueryResult.HELD, ownAddress);
+    peers.send(new PeerMessage.FlowQueryResponse(List.of(held)), balancerAddress);
+  }
+
   @Override
   public void checkTarget() {
     targetCheck.request();
--- a/lab/src/main/java/io/moorstage/lab/bench/OpenFlows.java
+++ b/lab/src/main/java/io/moorstage/lab/bench/OpenFlows.java
@@ -139,6 +139,9 @@
     @Override
     public void checkTarget() {}
 
+    @Override
+    public void reportHeld(int balancerAddress, FlowId flow) {}
+
     @Override
     public void deliver(ByteBuffer datagram) {}
 
