Keep an agent from delivering a flow that its target has returned

Callers saw several packets of one flow at the same wrong target. When a target returned an offered segment, its agent removed the flow's entry: the next segment of a balancer that had not read the return yet was delivered again, a query was answered UNKNOWN again, and of several returns only the first was given back.

The agent now keeps the entry as withdrawn: further segments are given back without a delivery, queries are answered NOT_HELD, and each return is given back. Before, targetThatHasReturnedASegmentOfAFlowGetsNoMoreOfThem saw 3 deliveries instead of 1, and the two tests beside it failed as well.

--- a/core/src/main/java/io/moorstage/core/agent/TargetSegments.java
+++ b/core/src/main/java/io/moorstage/core/agent/TargetSegments.java
@@ -103,13 +103,10 @@
       flows.resetLost(flow, segment.acknowledged(), "returned", nowMs);
       return;
     }
-    if (flow.stage() == AgentFlow.Stage.OFFERED) {
-      flows.remove(flow, nowMs);
-    } else {
-      // The client continued at another target, which had accepted a copy of the opening segment.
-      flow.withdraw();
-      flows.requests().drop(flow, nowMs);
-    }
+    // The flow was offered, or its client continued at another target that had accepted a copy of
+    // the opening segment. The entry stays, so that the target gets no further segment of the flow.
+    flow.withdraw();
+    flows.requests().drop(flow, nowMs);
     flows.giveBack(flow.balancerAddress(), GiveBackReason.NOT_HELD, segment, datagram);
   }
 }
