Take the holder of a flow from an agent's report after the end of the search

A flow stalled until its client's next segment had been searched for again, although the holder's agent had reported it: a report that arrived after a search without a result was ignored. It sets the flow's target now. Before, holderReportedAfterTheEndOfTheSearchGetsTheNextSegment forwarded nothing.

--- a/core/src/main/java/io/moorstage/core/balancer/BalancerFlow.java
+++ b/core/src/main/java/io/moorstage/core/balancer/BalancerFlow.java
@@ -367,7 +367,7 @@
 
   /** Ends the search because the flow was located or lost. */
   void endSearch() {
-    requireStage(isSearching() || unconfirmedSearch() != null);
+    requireStage(stage != IDLE);
     stage = IDLE;
     speculativeSegments = 0;
   }
--- a/core/src/main/java/io/moorstage/core/balancer/FlowLocator.java
+++ b/core/src/main/java/io/moorstage/core/balancer/FlowLocator.java
@@ -202,6 +202,9 @@
     Search unconfirmed = flow.unconfirmedSearch();
     Search search = unconfirmed == null ? flow.search() : unconfirmed;
     if (search == null) {
+      if (flow.isNotFound() && result == FlowQueryResult.HELD) {
+        onHolderReportedAfterSearch(flow, targetAddress, nowMs);
+      }
       return;
     }
     switch (result) {
@@ -236,6 +239,15 @@
     }
   }
 
+  private void onHolderReportedAfterSearch(BalancerFlow flow, int targetAddress, long nowMs) {
+    TargetSlot holder = possibleHolder(flow, targetAddress);
+    if (holder != null) {
+      flow.endSearch();
+      flow.setHolder(holder, true);
+      logLocated(flow, holder, "told-late", nowMs);
+    }
+  }
+
   private void onHolderNamed(Search search, int targetAddress, long nowMs) {
     BalancerFlow flow = search.flow();
     TargetSlot named = possibleHolder(flow, targetAddress);
