Name no target to other balancers that may not have accepted the opening

Other balancers sent segments of a flow to a target that did not hold it, as this balancer had named it. A client that continues its flow proves that a target has accepted the opening, but not which one if it was sent to several, or if a copy went through another balancer; and after a returned segment the flow moved to any target that had been tried, also to one that had rejected the opening.

The target is now confirmed by the client only if it is the only one that may have accepted the opening, and a flow moves only to targets that have left the opening unanswered. The three tests failed before: knownTarget returned an address instead of 0, and the segment went to the target that had rejected the opening.

--- a/core/src/main/java/io/moorstage/core/balancer/BalancerFlow.java
+++ b/core/src/main/java/io/moorstage/core/balancer/BalancerFlow.java
@@ -25,6 +25,9 @@
   /** Targets that did not respond to the opening segment or whose agent gave it back. */
   private final List<TargetSlot> tried = new ArrayList<>(0);
 
+  /** Targets that may have accepted the opening, although a later copy was sent to another one. */
+  private final List<TargetSlot> unanswered = new ArrayList<>(0);
+
   /**
    * Addresses of targets whose agent gave back a segment after the opening: they do not hold the
    * flow.
@@ -162,7 +165,7 @@
    */
   void confirmByClient() {
     targetResponded = true;
-    confirmed = true;
+    confirmed = unanswered.isEmpty() && !missesEarlierCopies;
   }
 
   /** Records that the client has closed or reset the flow. */
@@ -207,6 +210,7 @@
     if (!nonHolders.contains(address)) {
       nonHolders.add(address);
     }
+    unanswered.removeIf(slot -> slot.address() == address);
   }
 
   boolean isNonHolder(int address) {
@@ -271,8 +275,18 @@
     return tried;
   }
 
-  void addTried(TargetSlot slot) {
+  /** Adds a target that has left the opening unanswered, so that it is sent to another one. */
+  void addUnanswered(TargetSlot slot) {
     tried.add(slot);
+    unanswered.add(slot);
+  }
+
+  /** Adds a target whose agent has given the opening back. */
+  void addRejecting(TargetSlot slot) {
+    if (!tried.contains(slot)) {
+      tried.add(slot);
+    }
+    unanswered.remove(slot);
   }
 
   void clearTried() {
@@ -280,12 +294,18 @@
   }
 
   /**
-   * Removes and returns the target that was tried last, which may have accepted the flow; null if
-   * there is none.
+   * Moves the flow to the target that has left the opening unanswered last, if there is one.
+   *
+   * @return whether there is one
    */
-  @Nullable
-  TargetSlot removeLastTried() {
-    return tried.isEmpty() ? null : tried.remove(tried.size() - 1);
+  boolean moveToLastUnanswered() {
+    if (unanswered.isEmpty()) {
+      return false;
+    }
+    // Any of these targets may have accepted the opening.
+    confirmed = false;
+    moveTo(unanswered.remove(unanswered.size() - 1));
+    return true;
   }
 
   // ---- the search ----
--- a/core/src/main/java/io/moorstage/core/balancer/FlowLocator.java
+++ b/core/src/main/java/io/moorstage/core/balancer/FlowLocator.java
@@ -89,9 +89,8 @@
       return;
     }
     // A target that received an earlier copy of the opening segment may have accepted it.
-    TargetSlot other = flow.removeLastTried();
-    if (other != null) {
-      flow.moveTo(other);
+    if (flow.moveToLastUnanswered()) {
+      TargetSlot other = flow.target();
       long ageMs = nowMs - flow.openedAtMs();
       log.decided(Decision.LOCATED, flow.id(), other.address(), "opened-at-other", ageMs);
       tables.send(flow, other, datagram);
--- a/core/src/main/java/io/moorstage/core/balancer/FlowOpener.java
+++ b/core/src/main/java/io/moorstage/core/balancer/FlowOpener.java
@@ -155,7 +155,7 @@
         if (!retries.mayWaitAt(target, nowMs)) {
           retries.exclude(target, GiveBackReason.SILENT, nowMs);
         }
-        flow.addTried(target);
+        flow.addUnanswered(target);
         place(flow, segment, datagram, "unanswered", nowMs);
       }
     }
@@ -273,9 +273,7 @@
     // The source may have listed the target only after the segment was sent.
     TargetSlot rejecting = wasPlacedThere ? target : tables.slotAt(flow, agentAddress);
     if (rejecting != null) {
-      if (!flow.tried().contains(rejecting)) {
-        flow.addTried(rejecting);
-      }
+      flow.addRejecting(rejecting);
       retries.exclude(rejecting, reason, nowMs);
     }
     return wasPlacedThere;
--- a/core/src/test/java/io/moorstage/core/balancer/PeerNamedHolderTest.java
+++ b/core/src/test/java/io/moorstage/core/balancer/PeerNamedHolderTest.java
@@ -8,6 +8,7 @@
 import io.moorstage.core.flow.Segment;
 import io.moorstage.core.log.DecisionLog;
 import io.moorstage.core.message.FlowQueryResult;
+import io.moorstage.core.message.GiveBackReason;
 import io.moorstage.core.state.TargetPhase;
 import io.moorstage.core.state.TargetRecord;
 import java.util.Arrays;
@@ -17,6 +18,7 @@
 class PeerNamedHolderTest {
   private static final int A = 0x0A010010;
   private static final int B = 0x0A010011;
+  private static final int C = 0x0A010012;
   private static final FlowId FLOW = Fleet.flow(1);
   private static final int LATE_MS = 2_000;
 
@@ -39,6 +41,18 @@
     balancer.onClientSegment(segment, Fleet.bytes(segment), nowMs);
   }
 
+  private void openAtTwoTargets() {
+    send(Fleet.open(FLOW, 0));
+    nowMs += 200;
+    send(Fleet.open(FLOW, 1));
+    assertThat(actions.forwardedTo).containsNoDuplicates();
+    assertThat(actions.forwardedTo).hasSize(2);
+  }
+
+  private void giveBack(int agent, GiveBackReason reason, Segment segment) {
+    balancer.onGivenBack(agent, reason, 1, segment, Fleet.bytes(segment), nowMs);
+  }
+
   // Guards against a flow that breaks although the agent of its target has reported it: the report
   // arrives after that of another balancer.
   @Test
@@ -80,4 +94,45 @@
     send(Fleet.data(FLOW, 101, 10));
     assertThat(actions.forwardedTo).containsExactly(A);
   }
+
+  // Guards against balancers that pass on a guess: the client may have continued at the first
+  // target.
+  @Test
+  void targetIsNotNamedToPeersWhileAnotherMayHaveAcceptedTheOpening() {
+    listTargets(A, B);
+    openAtTwoTargets();
+    send(Fleet.data(FLOW, 101, 10));
+    assertThat(balancer.knownTarget(FLOW)).isEqualTo(0);
+  }
+
+  // Guards against balancers that pass on a guess: either of the first two targets may hold the
+  // flow after the third one has given a segment back.
+  @Test
+  void targetIsNotNamedToPeersAfterItsFlowWasGivenBackWhileTwoOthersMayHoldIt() {
+    listTargets(A, B, C);
+    openAtTwoTargets();
+    nowMs += 400;
+    send(Fleet.open(FLOW, 2));
+    assertThat(actions.forwardedTo).containsExactly(A, B, C);
+    Segment data = Fleet.data(FLOW, 101, 10);
+    send(data);
+    giveBack(actions.lastForwardedTo(), GiveBackReason.NOT_HELD, data);
+    assertThat(balancer.knownTarget(FLOW)).isEqualTo(0);
+  }
+
+  // Guards against a flow that is sent to, and named at, a target that has rejected its opening.
+  @Test
+  void targetThatRejectedTheOpeningIsNeitherSentTheFlowNorNamedToPeers() {
+    listTargets(A, B);
+    Segment opening = Fleet.open(FLOW, 0);
+    send(opening);
+    int rejecting = actions.lastForwardedTo();
+    giveBack(rejecting, GiveBackReason.LEAVING, opening);
+    int other = actions.lastForwardedTo();
+    Segment data = Fleet.data(FLOW, 101, 10);
+    send(data);
+    giveBack(other, GiveBackReason.NOT_HELD, data);
+    assertThat(actions.lastForwardedTo()).isEqualTo(other);
+    assertThat(balancer.knownTarget(FLOW)).isNotEqualTo(rejecting);
+  }
 }
