Report a flow that its target has only accepted as possibly held

Callers' flows broke when a balancer searched for them: a target that had accepted a copy of the opening, but not the client's further segments, was reported as the holder like the target where the client had continued, and the first response won.

The agent of such a target now names it without proof, as another balancer does: it gets two segments, and the report of the holder's agent replaces it. The agent reports the flow once its target has sent a further segment of it. Before, reportOfAnOpenFlowReplacesThatOfATargetThatOnlyAcceptedTheOpening saw three segments at the wrong target.

The assertion on an accepted flow in unknownFlowIsUnlikelyAtATargetThatStartedAfterTheAgent required the mended behaviour; the target now sends a segment first, and flowThatWasOnlyAcceptedIsReportedAsHeldOnceTheTargetHasSentAnotherSegment holds the rule before and after that.

--- a/core/src/main/java/io/moorstage/core/agent/AgentFlow.java
+++ b/core/src/main/java/io/moorstage/core/agent/AgentFlow.java
@@ -84,6 +84,9 @@
   /** Counts the flow while it is held; null if the flow is in no table. */
   @Nullable private HeldFlowCount heldCount;
 
+  /** Whether a balancer waits for a report that the target holds the flow. */
+  private boolean reportDue;
+
   private boolean countedAsHeld;
 
   private AgentFlow(FlowId id, Stage stage, int openCopy, int balancerAddress, long nowMs) {
@@ -105,7 +108,9 @@
 
   /** Returns a flow whose target is unknown, and of which a segment is offered to this target. */
   static AgentFlow offered(FlowId id, int balancerAddress, long nowMs) {
-    return new AgentFlow(id, Stage.OFFERED, 0, balancerAddress, nowMs);
+    AgentFlow flow = new AgentFlow(id, Stage.OFFERED, 0, balancerAddress, nowMs);
+    flow.reportDue = true;
+    return flow;
   }
 
   /** Returns a flow that the target holds, as a segment of it shows; no balancer is known yet. */
@@ -194,6 +199,18 @@
     updateHeldCount();
   }
 
+  /** Records that a balancer is to be informed once the target holds the flow. */
+  void requestReport() {
+    reportDue = true;
+  }
+
+  /** Returns whether a balancer is to be informed now that the target holds the flow. */
+  boolean pollReport() {
+    boolean report = reportDue && stage == Stage.OPEN;
+    reportDue &= !report;
+    return report;
+  }
+
   /** Withdraws the flow: another target holds or may get it, so later responses are dropped. */
   void withdraw() {
     stage = Stage.WITHDRAWN;
--- a/core/src/main/java/io/moorstage/core/agent/FlowAgent.java
+++ b/core/src/main/java/io/moorstage/core/agent/FlowAgent.java
@@ -211,10 +211,17 @@
       case LOST -> FlowQueryResult.LOST;
       case WITHDRAWN -> FlowQueryResult.NOT_HELD;
       case OPEN -> target.hasEnded() ? FlowQueryResult.LOST : FlowQueryResult.HELD;
-      case OPENING, ACCEPTED -> target.hasEnded() ? FlowQueryResult.NOT_HELD : FlowQueryResult.HELD;
+      case OPENING, ACCEPTED ->
+          target.hasEnded() ? FlowQueryResult.NOT_HELD : resultForUnansweredFlow(flow);
     };
   }
 
+  // The client may have continued at another target that has accepted a copy of the opening.
+  private static FlowQueryResult resultForUnansweredFlow(AgentFlow flow) {
+    flow.requestReport();
+    return FlowQueryResult.KNOWN_ELSEWHERE;
+  }
+
   private FlowQueryResult resultForUnknownFlow(long nowMs) {
     if (flows.isAuthoritative(nowMs) || target.hasEnded()) {
       return FlowQueryResult.NOT_HELD;
--- a/core/src/main/java/io/moorstage/core/agent/TargetSegments.java
+++ b/core/src/main/java/io/moorstage/core/agent/TargetSegments.java
@@ -48,9 +48,8 @@
     }
     // An earlier process of the agent delivered the opening, or the target holds an offered flow.
     flows.requests().discardWaitingOpening(segment.flow());
-    boolean wasOffered = flow.stage() == AgentFlow.Stage.OFFERED;
     flow.onTargetSegment(segment, nowMs);
-    if (wasOffered && flow.stage() == AgentFlow.Stage.OPEN) {
+    if (flow.pollReport()) {
       actions.reportHeld(flow.balancerAddress(), flow.id());
     }
     flows.requests().onAccepted(flow, nowMs);
--- a/core/src/main/java/io/moorstage/core/balancer/FlowLocator.java
+++ b/core/src/main/java/io/moorstage/core/balancer/FlowLocator.java
@@ -208,7 +208,10 @@
     }
     switch (result) {
       case HELD -> onHolderReported(search, targetAddress, nowMs);
-      case KNOWN_ELSEWHERE -> onHolderNamed(search, targetAddress, nowMs);
+      case KNOWN_ELSEWHERE -> {
+        search.removePending(peerAddress);
+        onHolderNamed(search, targetAddress, nowMs);
+      }
       case LOST -> onLossReported(search, peerAddress);
       case UNKNOWN, UNLIKELY, NOT_HELD -> {
         if (unconfirmed == null) {
--- a/core/src/main/java/io/moorstage/core/message/FlowQueryResult.java
+++ b/core/src/main/java/io/moorstage/core/message/FlowQueryResult.java
@@ -2,7 +2,7 @@
 
 /** The response of an agent or a balancer to a query for the target that holds a flow. */
 public enum FlowQueryResult {
-  /** The queried agent's target holds the flow, or its opening segment was sent to the target. */
+  /** The queried agent's target holds the flow. */
   HELD,
   /** The queried agent's target does not hold the flow. */
   NOT_HELD,
@@ -10,7 +10,10 @@
   LOST,
   /** The queried agent has no record of the flow and has not run long enough to rule it out. */
   UNKNOWN,
-  /** The queried balancer has a target on record that holds the flow. */
+  /**
+   * The named target may hold the flow: the queried balancer has it on record, or the queried
+   * agent's own target was sent the opening segment and has not responded to any later one.
+   */
   KNOWN_ELSEWHERE,
   /**
    * The queried agent has no record of the flow, and its target has most likely started no sooner
--- a/core/src/test/java/io/moorstage/core/agent/FlowAgentTest.java
+++ b/core/src/test/java/io/moorstage/core/agent/FlowAgentTest.java
@@ -315,9 +315,21 @@
         new TargetReport(9, TargetPhase.READY, false, CAPACITY, 5, true, 0, 0), nowMs);
     assertThat(agent.onQuery(Fleet.flow(1), nowMs)).isEqualTo(FlowQueryResult.UNLIKELY);
     openFlow(2);
+    respond(2);
     assertThat(agent.onQuery(Fleet.flow(2), nowMs)).isEqualTo(FlowQueryResult.HELD);
   }
 
+  // The client may have continued at another target that has accepted a copy of the opening.
+  @Test
+  void flowThatWasOnlyAcceptedIsReportedAsHeldOnceTheTargetHasSentAnotherSegment() {
+    openFlow(1);
+    assertThat(agent.onQuery(Fleet.flow(1), nowMs)).isEqualTo(FlowQueryResult.KNOWN_ELSEWHERE);
+    assertThat(actions.reportedHeld).isEmpty();
+    respond(1);
+    assertThat(actions.reportedHeld).containsExactly(Fleet.flow(1));
+    assertThat(agent.onQuery(Fleet.flow(1), nowMs)).isEqualTo(FlowQueryResult.HELD);
+  }
+
   @Test
   void targetThatHoldsAnUnknownFlowIsNoLongerAssumedToBeNew() {
     agent.onTargetReport(
--- a/core/src/test/java/io/moorstage/core/agent/OfferedSegmentTest.java
+++ b/core/src/test/java/io/moorstage/core/agent/OfferedSegmentTest.java
@@ -116,6 +116,7 @@
     forward(Fleet.open(FLOW, 0));
     receiveFromTarget(Fleet.accepted(FLOW));
     assertThat(actions.toClients).containsExactly(FLOW);
+    receiveFromTarget(Fleet.data(FLOW, 2, 100));
     assertThat(agent.onQuery(FLOW, nowMs)).isEqualTo(FlowQueryResult.HELD);
   }
 }
--- a/core/src/test/java/io/moorstage/core/balancer/PeerNamedHolderTest.java
+++ b/core/src/test/java/io/moorstage/core/balancer/PeerNamedHolderTest.java
@@ -135,4 +135,18 @@
     assertThat(actions.lastForwardedTo()).isEqualTo(other);
     assertThat(balancer.knownTarget(FLOW)).isNotEqualTo(rejecting);
   }
+
+  // Guards against a flow that breaks since the agent of a target that has only accepted the
+  // opening responds before the agent of the target where the client has continued.
+  @Test
+  void reportOfAnOpenFlowReplacesThatOfATargetThatOnlyAcceptedTheOpening() {
+    FlowNetwork network =
+        new FlowNetwork(Fleet.POLICY)
+            .otherTargetAcceptedOpening()
+            .holderResponseDelay(1)
+            .giveBackDelay(LATE_MS)
+            .clientSends(3)
+            .run(6_000);
+    assertThat(network.breakingArrivals()).isEmpty();
+  }
 }
