Keep the events of an opening from changing a flow that its client has continued

A tick of the balancer failed with an exception, so that searches and queries waited for up to 1.4 s: a late copy of an opening, or one that an agent gave back, changed or removed the target of a flow that was being searched for or not confirmed yet. A client that continues its flow has got an acceptance, so its opening is neither placed nor rejected again, and searches begin only for such flows.

--- a/core/src/main/java/io/moorstage/core/balancer/BalancerFlow.java
+++ b/core/src/main/java/io/moorstage/core/balancer/BalancerFlow.java
@@ -159,12 +159,17 @@
     lastUsedMs = nowMs;
   }
 
+  /** Records that the client has sent a segment after the opening. */
+  void markContinued() {
+    targetResponded = true;
+  }
+
   /**
    * Records that the client has sent a segment after the opening, so that the target holds the
    * flow.
    */
   void confirmByClient() {
-    targetResponded = true;
+    markContinued();
     confirmed = unanswered.isEmpty() && !missesEarlierCopies;
   }
 
--- a/core/src/main/java/io/moorstage/core/balancer/FlowLocator.java
+++ b/core/src/main/java/io/moorstage/core/balancer/FlowLocator.java
@@ -173,6 +173,7 @@
   /** Starts the search for a flow whose target is unknown or has turned out not to hold it. */
   void startSearch(BalancerFlow flow, Segment segment, ByteBuffer datagram, long nowMs) {
     TargetSlot previous = flow.target();
+    flow.markContinued();
     Search search = new Search(flow, segment.acknowledged(), nowMs);
     search.hold(datagram, settings.maxHeldSegments());
     flow.beginSearch(search);
--- a/core/src/main/java/io/moorstage/core/balancer/FlowOpener.java
+++ b/core/src/main/java/io/moorstage/core/balancer/FlowOpener.java
@@ -101,6 +101,10 @@
       return;
     }
     BalancerFlow flow = tables.flow(segment.flow());
+    if (flow != null && flow.isSearching()) {
+      // The client has continued the flow, so that a target has accepted an earlier copy.
+      return;
+    }
     if (flow == null || flow.isNotFound()) {
       openNew(route.serviceOf(segment.flow()), segment, datagram, nowMs);
     } else {
@@ -250,14 +254,13 @@
     if (flow != null) {
       flow.countOpeningGivenBack();
     }
-    boolean overloaded = reason == GiveBackReason.OVERLOADED;
     if (reason == GiveBackReason.OLD_CONFIGURATION) {
       removeUnlessOpen(flow);
       waitForConfiguration(agentAddress, agentVersion, segment, datagram, nowMs);
-    } else if (flow != null && !(overloaded && flow.hasTargetResponded())) {
-      // An open flow does not need a copy of its opening that waited at another target.
+    } else if (flow != null && !flow.hasTargetResponded()) {
+      // A flow that the client has continued was accepted, so its opening is not placed again.
       boolean wasPlacedThere = exclude(flow, agentAddress, reason, nowMs);
-      if (overloaded) {
+      if (reason == GiveBackReason.OVERLOADED) {
         flow.markRejectedAsOverloaded();
       }
       if (retries.isPlacedAgain(flow, wasPlacedThere)) {
