Limit the segments at targets that neither confirm nor return them

The limit now covers all targets of a flow. A returned segment, or an agent that denies the flow, frees its place.

A close that is held for an unconfirmed target marks the flow as closed, and a holder that reports a flow during an offer does not get the offered segment twice; both have a test that failed before.

--- a/core/src/main/java/io/moorstage/core/balancer/BalancerFlow.java
+++ b/core/src/main/java/io/moorstage/core/balancer/BalancerFlow.java
@@ -71,8 +71,11 @@
    */
   private int speculativeSegments;
 
-  /** The number of segments sent to the target since it was last assumed to be the holder. */
-  private int unconfirmedSegments;
+  /**
+   * The targets of the segments that were sent without proof that the target holds the flow, and
+   * that have not been returned. A target occurs once for each segment.
+   */
+  private final List<Integer> unresolved = new ArrayList<>(0);
 
   private BalancerFlow(FlowId id, String service, boolean targetResponded, long nowMs) {
     this.id = id;
@@ -216,6 +219,7 @@
       nonHolders.add(address);
     }
     unanswered.removeIf(slot -> slot.address() == address);
+    resolveSegments(address);
   }
 
   boolean isNonHolder(int address) {
@@ -343,11 +347,6 @@
     return stage instanceof Search.Unconfirmed unconfirmed ? unconfirmed.search() : null;
   }
 
-  /** Returns for how long the target has been assumed to be the holder, in milliseconds. */
-  long unconfirmedMs(long nowMs) {
-    return stage instanceof Search.Unconfirmed unconfirmed ? nowMs - unconfirmed.sinceMs() : 0;
-  }
-
   /** Returns whether the last search ended without a result. */
   boolean isNotFound() {
     return stage instanceof Search.NotFound;
@@ -361,12 +360,18 @@
     speculativeSegments++;
   }
 
-  int unconfirmedSegments() {
-    return unconfirmedSegments;
+  /** Returns the number of segments at targets that have neither confirmed nor returned them. */
+  int unresolvedSegments() {
+    return unresolved.size();
+  }
+
+  void addUnresolvedSegment(int address) {
+    unresolved.add(address);
   }
 
-  void countUnconfirmedSegment() {
-    unconfirmedSegments++;
+  /** Records that a target does not hold the flow, so that its segments are no longer counted. */
+  void resolveSegments(int address) {
+    unresolved.removeIf(target -> target == address);
   }
 
   /** Starts or resumes a search; the flow's target is unknown from then on. */
@@ -395,20 +400,19 @@
     requireStage(stage != IDLE);
     stage = IDLE;
     speculativeSegments = 0;
+    unresolved.clear();
   }
 
   /** Assumes that the target of the pending offer holds the flow, as it kept the segment. */
-  void assumeOfferKept(long nowMs) {
-    assumeHolder(offered().target(), nowMs);
-    unconfirmedSegments = 1;
+  void assumeOfferKept() {
+    assumeHolder(offered().target());
   }
 
   /** Assumes that a target holds the flow until its agent reports or denies that. */
-  void assumeHolder(TargetSlot assumed, long nowMs) {
+  void assumeHolder(TargetSlot assumed) {
     requireStage(isSearching());
-    stage = new Search.Unconfirmed(search(), nowMs);
+    stage = new Search.Unconfirmed(search());
     moveTo(assumed);
-    unconfirmedSegments = 0;
   }
 
   /** Ends the search without a result; the flow's target is unknown from then on. */
--- a/core/src/main/java/io/moorstage/core/balancer/FlowBalancer.java
+++ b/core/src/main/java/io/moorstage/core/balancer/FlowBalancer.java
@@ -208,9 +208,7 @@
     }
     Search unconfirmed = flow.unconfirmedSearch();
     if (unconfirmed != null) {
-      if (!locator.forwardUnconfirmed(unconfirmed, segment, datagram, nowMs)) {
-        return;
-      }
+      locator.forwardUnconfirmed(unconfirmed, segment, datagram, nowMs);
     } else {
       if (!flow.hasTargetResponded()) {
         flow.confirmByClient();
--- a/core/src/main/java/io/moorstage/core/balancer/FlowLocator.java
+++ b/core/src/main/java/io/moorstage/core/balancer/FlowLocator.java
@@ -129,32 +129,17 @@
     }
   }
 
-  /**
-   * Handles a client's segment of a flow whose target is not confirmed as the holder.
-   *
-   * @return whether the segment was forwarded; otherwise it is held
-   */
-  boolean forwardUnconfirmed(Search search, Segment segment, ByteBuffer datagram, long nowMs) {
+  /** Forwards or holds a client's segment of a flow whose target is not confirmed as the holder. */
+  void forwardUnconfirmed(Search search, Segment segment, ByteBuffer datagram, long nowMs) {
     if (unconfirmedHolders.mayForward(search, nowMs)) {
-      unconfirmedHolders.forward(search, datagram);
-      return true;
-    }
-    BalancerFlow flow = search.flow();
-    if (nowMs - search.startedAtMs() >= settings.durationMs()) {
+      unconfirmedHolders.forward(search, datagram, nowMs);
+    } else if (nowMs - search.startedAtMs() < settings.durationMs()) {
+      search.hold(datagram, settings.maxHeldSegments());
+    } else {
       searches.remove(search);
-      flow.giveUpSearch();
-      startSearch(flow, segment, datagram, nowMs);
-      return false;
-    }
-    search.hold(datagram, settings.maxHeldSegments());
-    if (flow.unconfirmedMs(nowMs) >= settings.pauseMs()) {
-      // The target has left the client's segments without a response.
-      TargetSlot target = flow.target();
-      search.cancelQuery(target.address());
-      search.addCandidateAgain(target);
-      resume(search, "not-confirmed", nowMs);
+      search.flow().giveUpSearch();
+      startSearch(search.flow(), segment, datagram, nowMs);
     }
-    return false;
   }
 
   /** Starts the search for the target of an open flow that is not in the flow table. */
@@ -236,6 +221,9 @@
     TargetSlot holder = possibleHolder(flow, targetAddress);
     if (holder != null) {
       String reason = flow.isSearching() ? "told-by-agent" : "told-late";
+      if (holder.equals(flow.offeredTo())) {
+        search.pollHeld();
+      }
       end(search);
       flow.setHolder(holder, true);
       sendHeld(search, holder, reason, nowMs);
@@ -263,7 +251,7 @@
       return;
     }
     TargetSlot offeredTo = flow.offeredTo();
-    flow.assumeHolder(named, nowMs);
+    flow.assumeHolder(named);
     if (offeredTo != null) {
       search.addCandidateAgain(offeredTo);
     }
@@ -289,6 +277,9 @@
     }
     BalancerFlow flow = search.flow();
     if (flow.target().address() != agentAddress) {
+      if (result == FlowQueryResult.NOT_HELD) {
+        flow.resolveSegments(agentAddress);
+      }
       offers.addResponse(search, slot, result);
     } else if (result == FlowQueryResult.NOT_HELD) {
       flow.addNonHolder(agentAddress);
@@ -307,6 +298,9 @@
 
   private void onAgentResponse(
       Search search, int agentAddress, FlowQueryResult result, long nowMs) {
+    if (result == FlowQueryResult.NOT_HELD) {
+      search.flow().resolveSegments(agentAddress);
+    }
     TargetSlot slot = search.removePending(agentAddress);
     if (slot == null) {
       return;
@@ -367,7 +361,7 @@
 
   private void onOfferKept(Search search, TargetSlot target, long nowMs) {
     search.pollHeld();
-    search.flow().assumeOfferKept(nowMs);
+    search.flow().assumeOfferKept();
     search.waitUntil(nowMs + settings.pauseMs());
     logLocated(search.flow(), target, "kept-offer", nowMs);
     unconfirmedHolders.sendHeld(search, nowMs);
--- a/core/src/main/java/io/moorstage/core/balancer/Search.java
+++ b/core/src/main/java/io/moorstage/core/balancer/Search.java
@@ -41,7 +41,7 @@
    * The flow's target may hold the flow, but its agent has not reported that: an offered segment
    * was not given back in time, or another balancer has named the target. The search goes on.
    */
-  record Unconfirmed(Search search, long sinceMs) implements Stage {}
+  record Unconfirmed(Search search) implements Stage {}
 
   /** The last search ended without a result: it neither located the flow nor proved it lost. */
   record NotFound() implements Stage {}
--- a/core/src/main/java/io/moorstage/core/balancer/SearchOffers.java
+++ b/core/src/main/java/io/moorstage/core/balancer/SearchOffers.java
@@ -22,7 +22,8 @@
  * unknown flow at once, and is assumed to be the holder if it keeps the segment for {@code
  * offerTimeoutMs} ({@link UnconfirmedHolders}). After a batch of offers the search pauses for
  * {@code pauseMs} and then queries again. While an agent that may know the flow has not responded,
- * at most {@value #MAX_SPECULATIVE_SEGMENTS} segments of the flow are sent.
+ * at most {@value #MAX_SPECULATIVE_SEGMENTS} segments of the flow are sent. At most {@value
+ * #MAX_UNRESOLVED_SEGMENTS} are at targets that have neither confirmed nor returned them.
  *
  * <p>An agent that has run for less than the time a flow is remembered does not know all flows of
  * its target; the target does. Each wrong offer reaches a target that does not hold the flow, so
@@ -45,6 +46,13 @@
    */
   static final int MAX_SPECULATIVE_SEGMENTS = 2;
 
+  /**
+   * The maximum number of segments of a flow at targets that have neither confirmed nor returned
+   * them. A balancer that reads returned segments late would send three to wrong targets, which
+   * breaks a flow. Two are enough for the holder, which acknowledges every second segment.
+   */
+  static final int MAX_UNRESOLVED_SEGMENTS = 2;
+
   private final SearchSettings settings;
   private final DecisionLog log;
   private final BalancerTables tables;
@@ -80,9 +88,7 @@
    */
   boolean offerNext(Search search, long nowMs) {
     boolean speculative = search.hasUnresponsive();
-    boolean mayOffer =
-        !speculative || search.flow().speculativeSegments() < MAX_SPECULATIVE_SEGMENTS;
-    if (search.candidateCount() == 0 || !mayOffer) {
+    if (search.candidateCount() == 0 || !maySend(search.flow(), speculative)) {
       return false;
     }
     if (search.isBatchStart()) {
@@ -97,6 +103,16 @@
     return true;
   }
 
+  /**
+   * Returns whether a segment may be sent to a target that may not hold the flow.
+   *
+   * @param speculative whether another agent that may know the flow has not responded
+   */
+  static boolean maySend(BalancerFlow flow, boolean speculative) {
+    return flow.unresolvedSegments() < MAX_UNRESOLVED_SEGMENTS
+        && (!speculative || flow.speculativeSegments() < MAX_SPECULATIVE_SEGMENTS);
+  }
+
   private void offer(Search search, boolean speculative, long nowMs) {
     BalancerFlow flow = search.flow();
     TargetSlot target = search.removeLikeliestCandidate();
@@ -104,6 +120,7 @@
     if (speculative) {
       flow.countSpeculativeSegment();
     }
+    flow.addUnresolvedSegment(target.address());
     flow.offerTo(target);
     search.waitUntil(nowMs + settings.offerTimeoutMs());
     log.decided(
--- a/core/src/main/java/io/moorstage/core/balancer/UnconfirmedHolders.java
+++ b/core/src/main/java/io/moorstage/core/balancer/UnconfirmedHolders.java
@@ -14,15 +14,11 @@
  * information may be outdated. Only the target's agent confirms it. The agent reports the flow as
  * soon as the target has sent a segment of it, and in response to queries.
  *
- * <p>Until then the queries of the search go on, and the target gets at most {@value #MAX_SEGMENTS}
- * segments. If the client sends another one, after {@code pauseMs} at the earliest, the search
- * resumes with the other candidates. The limit does not apply to a target that is the only one that
- * may hold the flow.
+ * <p>Until then the queries of the search go on, and the target gets segments within the limits of
+ * {@link SearchOffers}; others are held. The limits do not apply to a target that is the only one
+ * that may hold the flow.
  */
 final class UnconfirmedHolders {
-  /** A target acknowledges every second segment, so the holder is confirmed after two of them. */
-  static final int MAX_SEGMENTS = 2;
-
   private final SearchSettings settings;
   private final BalancerTables tables;
   private final SearchQueries queries;
@@ -36,32 +32,34 @@
   /** Sends the held segments of a flow to its unconfirmed target, as far as the limits allow. */
   void sendHeld(Search search, long nowMs) {
     while (search.hasHeldSegments() && mayForward(search, nowMs)) {
-      forward(search, search.pollHeld());
+      forward(search, search.pollHeld(), nowMs);
     }
   }
 
   /** Returns whether the unconfirmed target of a flow may be sent another segment. */
   boolean mayForward(Search search, long nowMs) {
-    BalancerFlow flow = search.flow();
-    int address = flow.target().address();
-    boolean isSpeculative = search.awaitsOtherAgentThan(address);
-    if (!isSpeculative && !search.hasOtherCandidateThan(address) && knowsAllAgents(nowMs)) {
-      return true;
-    }
-    return flow.unconfirmedSegments() < MAX_SEGMENTS
-        && (!isSpeculative || flow.speculativeSegments() < SearchOffers.MAX_SPECULATIVE_SEGMENTS);
+    return isOnlyPossible(search, nowMs)
+        || SearchOffers.maySend(search.flow(), isSpeculative(search));
   }
 
-  private boolean knowsAllAgents(long nowMs) {
-    return nowMs - tables.startedAtMs() > settings.agentDiscoveryMs();
+  private boolean isOnlyPossible(Search search, long nowMs) {
+    return !isSpeculative(search)
+        && !search.hasOtherCandidateThan(search.flow().target().address())
+        && nowMs - tables.startedAtMs() > settings.agentDiscoveryMs();
+  }
+
+  private static boolean isSpeculative(Search search) {
+    return search.awaitsOtherAgentThan(search.flow().target().address());
   }
 
   /** Sends a segment to the unconfirmed target of a flow. */
-  void forward(Search search, ByteBuffer datagram) {
+  void forward(Search search, ByteBuffer datagram, long nowMs) {
     BalancerFlow flow = search.flow();
     TargetSlot target = flow.target();
-    flow.countUnconfirmedSegment();
-    if (search.awaitsOtherAgentThan(target.address())) {
+    if (!isOnlyPossible(search, nowMs)) {
+      flow.addUnresolvedSegment(target.address());
+    }
+    if (isSpeculative(search)) {
       flow.countSpeculativeSegment();
     }
     tables.send(flow, target, datagram);
