Give a balancer a tick to read responses after a pause without processor time

A tick that came late took agents for unresponsive, and offered segments to wrong targets, before it had read the responses that had arrived meanwhile, and even before it had sent the queries of its last batch. A search whose wait ended more than 40 ms ago is now advanced one tick later, once for each wait, and a tick sends the queries first. Before, noSegmentIsOfferedInATickBeforeTheBatchedQueriesAreSent saw an offer.

--- a/core/src/main/java/io/moorstage/core/balancer/FlowBalancer.java
+++ b/core/src/main/java/io/moorstage/core/balancer/FlowBalancer.java
@@ -260,6 +260,8 @@
    * milliseconds.
    */
   public synchronized void onTick(long nowMs) {
+    // A search must not take an agent for unresponsive whose query has not been sent.
+    actions.flush();
     locator.onTick(nowMs);
     opener.onTick(nowMs);
     actions.flush();
--- a/core/src/main/java/io/moorstage/core/balancer/FlowLocator.java
+++ b/core/src/main/java/io/moorstage/core/balancer/FlowLocator.java
@@ -316,7 +316,7 @@
   /** Advances the searches whose current wait (for responses, an offer, a pause) has expired. */
   void onTick(long nowMs) {
     for (Search search : new ArrayList<>(searches)) {
-      if (search.isDue(nowMs)) {
+      if (search.isDue(nowMs) && !search.postponeIfLate(nowMs)) {
         advance(search, nowMs);
       }
     }
--- a/core/src/main/java/io/moorstage/core/balancer/Search.java
+++ b/core/src/main/java/io/moorstage/core/balancer/Search.java
@@ -46,6 +46,9 @@
   /** The last search ended without a result: it neither located the flow nor proved it lost. */
   record NotFound() implements Stage {}
 
+  /** The delay after which a tick counts as late, in milliseconds: two periods of 20 ms. */
+  private static final int MAX_TICK_DELAY_MS = 40;
+
   private final BalancerFlow flow;
   private final int acknowledged;
   private final long startedAtMs;
@@ -74,6 +77,7 @@
   private int offersInBatch;
   private int maxOffersInBatch;
   private long deadlineMs;
+  private boolean postponed;
 
   Search(BalancerFlow flow, int acknowledged, long nowMs) {
     this.flow = flow;
@@ -100,6 +104,22 @@
   /** Sets the end of the current wait: for responses, for an offer to be given back, or a pause. */
   void waitUntil(long newDeadlineMs) {
     deadlineMs = newDeadlineMs;
+    postponed = false;
+  }
+
+  /**
+   * Extends the current wait by a tick if it ended long ago and has not been extended before. The
+   * balancer had no processor time then, and may not have read the responses that have arrived.
+   *
+   * @return whether the wait was extended
+   */
+  boolean postponeIfLate(long nowMs) {
+    if (postponed || nowMs - deadlineMs <= MAX_TICK_DELAY_MS) {
+      return false;
+    }
+    deadlineMs = nowMs;
+    postponed = true;
+    return true;
   }
 
   boolean isDue(long nowMs) {
--- a/core/src/test/java/io/moorstage/core/balancer/UnconfirmedFlowEventsTest.java
+++ b/core/src/test/java/io/moorstage/core/balancer/UnconfirmedFlowEventsTest.java
@@ -287,4 +287,18 @@
     fixture.send(data);
     assertThat(fixture.reset).isEmpty();
   }
+
+  // Guards against an offer that is made before the query to the holder's agent has been sent: the
+  // queries of a batch are sent at the end of a tick, which may be late.
+  @Test
+  void noSegmentIsOfferedInATickBeforeTheBatchedQueriesAreSent() {
+    start(3);
+    silentAgents.add(rank(1));
+    send(1);
+    respond();
+    nowMs += 500;
+    report();
+    balancer.onTick(nowMs);
+    assertThat(actions.forwardedTo).isEmpty();
+  }
 }
