Query the agent of a target that is listed after the reported end of another one

Callers saw resets of open flows, with reset-lost reason=held-by-none, at targets that had started at the address of an ended one. The predecessor's agent had reported the end of its target, and the balancer kept that report until the next beacon from the address. A balancer of another zone gets such a beacon only now and then, so it took the successor for ended, did not query its agent and reset the flows once all others had denied them.

The report is now discarded when a state lists another start at the address, known by its id and start time. It names no start, so a target that is listed for the first time after the report is queried as well. A newer state of the same start keeps the report, so that searches still skip ended targets.

--- a/core/src/main/java/io/moorstage/core/balancer/AgentDirectory.java
+++ b/core/src/main/java/io/moorstage/core/balancer/AgentDirectory.java
@@ -8,6 +8,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.IntPredicate;
 import javax.annotation.Nullable;
 
 /**
@@ -85,13 +86,25 @@
   }
 
   /**
-   * Returns whether the last beacon of an agent reported that its target's process has ended. The
-   * target then holds no flow, and no search has to wait for the agent.
+   * Returns whether the last beacon of an agent reported that its target's process has ended, and
+   * no other start of a target has been listed at its address since. The target then holds no flow,
+   * and no search has to wait for the agent.
    */
   boolean hasTargetEnded(int agentAddress) {
     return endedSinceMs.containsKey(agentAddress);
   }
 
+  /**
+   * Discards the reports that a target has ended at the addresses where another start of a target
+   * is listed now. A report names no start, so it may be that of the predecessor, and the next
+   * beacon of the successor's agent may be long in coming.
+   *
+   * @param isReplaced whether another start is listed at an address since the last state
+   */
+  void discardEndsOfReplaced(IntPredicate isReplaced) {
+    endedSinceMs.keySet().removeIf(isReplaced::test);
+  }
+
   private static TargetSlot unlistedSlot(
       int agentAddress, String service, String zone, long nowMs) {
     String id = "agent-" + Integer.toHexString(agentAddress);
--- a/core/src/main/java/io/moorstage/core/balancer/BalancerTables.java
+++ b/core/src/main/java/io/moorstage/core/balancer/BalancerTables.java
@@ -55,7 +55,15 @@
     if (newer.configuration().version() > 0) {
       unlistedTargets.recordState(nowMs);
     }
-    pools = pools.update(newer, nowMs);
+    TargetPools previous = pools;
+    pools = previous.update(newer, nowMs);
+    agents.discardEndsOfReplaced(address -> isReplaced(previous, address));
+  }
+
+  // A target keeps its slot as long as it is the same start.
+  private boolean isReplaced(TargetPools previous, int address) {
+    TargetSlot slot = pools.at(address);
+    return slot != null && slot != previous.at(address);
   }
 
   ForwardingConfiguration configuration() {
