Query the agents of unlisted targets that send no beacons

Callers saw resets of open flows, with reset-lost reason=held-by-none, at targets that the store did not list during an outage. A balancer queried the agent of an unlisted target only while it was active: without a beacon for 1.8 s, or after the agent had announced a restart, the search ended although its flows were open. A balancer of another zone, or one that reads its input late, misses that many beacons; a restarting agent sends none.

Such an agent is now queried unless it is unresponsive, as that of a target which is gone is. A machine that is lost with its unlisted target delays resets until its agent is unresponsive: lostFlowIsResetOnceTheAgentOfAnUnlistedTargetIsUnresponsive.

--- a/core/src/main/java/io/moorstage/core/balancer/AgentDirectory.java
+++ b/core/src/main/java/io/moorstage/core/balancer/AgentDirectory.java
@@ -24,8 +24,6 @@
   /** The assumed capacity, in concurrent requests, of a target that the source does not list. */
   private static final int UNLISTED_CAPACITY = 4;
 
-  private static final long NEVER = Long.MIN_VALUE / 2;
-
   private final ForwardingPolicy policy;
   private final Map<Integer, KnownAgent> knownAgents = new HashMap<>();
 
@@ -48,10 +46,16 @@
    * An agent that has sent a beacon, whether or not the source lists its target.
    *
    * @param slot the target as the agent reports it, unlisted
-   * @param lastBeaconAtMs the time of the last beacon, in milliseconds; {@link #NEVER} if the agent
-   *     has announced that it stops
+   * @param lastBeaconAtMs the time of the last beacon, in milliseconds
+   * @param stopping whether the agent has announced that it stops; it may be restarting
    */
-  record KnownAgent(String service, TargetSlot slot, long lastBeaconAtMs) {}
+  record KnownAgent(String service, TargetSlot slot, long lastBeaconAtMs, boolean stopping) {
+
+    /** Returns whether the agent runs and has sent a beacon within a period. */
+    boolean isActive(int periodMs, long nowMs) {
+      return !stopping && nowMs - lastBeaconAtMs <= periodMs;
+    }
+  }
 
   AgentDirectory(ForwardingPolicy policy) {
     this.policy = policy;
@@ -70,8 +74,7 @@
     TargetSlot slot =
         sameService ? known.slot() : unlistedSlot(address, report.service(), report.zone(), nowMs);
     boolean becameActive = !isActive(address, nowMs);
-    long lastBeaconAtMs = report.stopping() ? NEVER : nowMs;
-    knownAgents.put(address, new KnownAgent(report.service(), slot, lastBeaconAtMs));
+    knownAgents.put(address, new KnownAgent(report.service(), slot, nowMs, report.stopping()));
     unansweredSinceMs.remove(address);
     if (report.targetEnded()) {
       endedSinceMs.putIfAbsent(address, nowMs);
@@ -127,7 +130,7 @@
   /** Returns whether an agent has sent a beacon within {@code agentTimeoutMs}. */
   boolean isActive(int agentAddress, long nowMs) {
     KnownAgent agent = knownAgents.get(agentAddress);
-    return agent != null && nowMs - agent.lastBeaconAtMs() <= policy.search().agentTimeoutMs();
+    return agent != null && agent.isActive(policy.search().agentTimeoutMs(), nowMs);
   }
 
   /**
@@ -145,7 +148,7 @@
     return knownAgents.get(agentAddress);
   }
 
-  /** Returns all agents that have sent a beacon, including those that are no longer active. */
+  /** Returns all agents that have sent a beacon, including those that are not active. */
   Collection<KnownAgent> all() {
     return knownAgents.values();
   }
@@ -154,7 +157,7 @@
   int activeCount(long nowMs) {
     int count = 0;
     for (KnownAgent agent : knownAgents.values()) {
-      if (nowMs - agent.lastBeaconAtMs() <= policy.search().agentTimeoutMs()) {
+      if (agent.isActive(policy.search().agentTimeoutMs(), nowMs)) {
         count++;
       }
     }
@@ -167,17 +170,14 @@
    */
   boolean hasLostAll(int periodMs, long nowMs) {
     for (KnownAgent agent : knownAgents.values()) {
-      if (nowMs - agent.lastBeaconAtMs() <= periodMs) {
+      if (agent.isActive(periodMs, nowMs)) {
         return false;
       }
     }
     return hasHeardOfAgents;
   }
 
-  /**
-   * Evicts agents that have announced that they stop, and all entries older than {@code
-   * goneTargetMs}.
-   */
+  /** Evicts all entries older than {@code goneTargetMs}. */
   void sweep(long nowMs) {
     int retentionMs = policy.retention().goneTargetMs();
     knownAgents.values().removeIf(agent -> nowMs - agent.lastBeaconAtMs() > retentionMs);
--- a/core/src/main/java/io/moorstage/core/balancer/PossibleHolders.java
+++ b/core/src/main/java/io/moorstage/core/balancer/PossibleHolders.java
@@ -2,7 +2,6 @@
 
 import io.moorstage.core.placement.TargetPool;
 import io.moorstage.core.placement.TargetSlot;
-import io.moorstage.core.state.TargetPhase;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -65,14 +64,8 @@
     }
 
     private void addListed(TargetSlot slot) {
-      // A target that is gone and whose agent is unresponsive has ended, and its flows with it. An
-      // agent that stops after its target reports the end of the target. Without that report,
-      // searches would wait 1.8 s for the agent's response.
-      boolean gone = slot.record().phase() == TargetPhase.GONE;
-      boolean ended =
-          (gone && tables.agents().isUnresponsive(slot.address(), nowMs))
-              || tables.agents().hasTargetEnded(slot.address());
-      if (!ended) {
+      if (!tables.agents().hasTargetEnded(slot.address())
+          && (slot.record().isListed() || mayRunUnlisted(slot.address()))) {
         add(slot);
       }
     }
@@ -81,12 +74,19 @@
     // started.
     private void addUnlisted(AgentDirectory.KnownAgent agent) {
       int address = agent.slot().address();
-      boolean ended = tables.agents().hasTargetEnded(address);
-      if (!ended && tables.agents().isActive(address, nowMs)) {
+      if (!tables.agents().hasTargetEnded(address) && mayRunUnlisted(address)) {
         add(agent.slot());
       }
     }
 
+    // A target that the source does not list and whose agent is unresponsive has ended, and its
+    // flows with it. An agent that is merely not active may be restarting, or its beacons may not
+    // have been read. An agent that stops after its target reports the end of the target. Without
+    // that report, searches would wait 1.8 s for the agent's response.
+    private boolean mayRunUnlisted(int address) {
+      return !tables.agents().isUnresponsive(address, nowMs);
+    }
+
     private void add(TargetSlot slot) {
       if (!flow.isNonHolder(slot.address())) {
         byService
--- a/core/src/test/java/io/moorstage/core/balancer/UnprovenLossTest.java
+++ b/core/src/test/java/io/moorstage/core/balancer/UnprovenLossTest.java
@@ -8,6 +8,10 @@
 import io.moorstage.core.log.DecisionLog;
 import io.moorstage.core.message.AgentReport;
 import io.moorstage.core.message.FlowQueryResult;
+import io.moorstage.core.state.TargetPhase;
+import io.moorstage.core.state.TargetRecord;
+import java.util.ArrayList;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -18,6 +22,7 @@
   private static final int HOLDER = 0x0A010010;
   private static final int SECOND = 0x0A010011;
   private static final int THIRD = 0x0A010012;
+  private static final int FOURTH = 0x0A010013;
   private static final FlowId FLOW = Fleet.flow(1);
   private static final int TICK_MS = 20;
 
@@ -26,10 +31,21 @@
   private long nowMs = 100_000;
   private int answeredQueries;
 
+  /** The agent that responds to no query; 0 if all do. */
+  private int silentAgent;
+
   private void start(long startedAtMs) {
     balancer = new FlowBalancer(Fleet.POLICY, Fleet.ZONE, actions, DecisionLog.NONE, startedAtMs);
   }
 
+  private void listTargets(long revision, int... addresses) {
+    List<TargetRecord> targets = new ArrayList<>();
+    for (int address : addresses) {
+      targets.add(Fleet.target(address, TargetPhase.READY, 1));
+    }
+    balancer.onState(Fleet.state(revision, targets.toArray(new TargetRecord[0])), nowMs);
+  }
+
   private void reportAgents(int... agents) {
     for (int agent : agents) {
       balancer.onAgentReport(Fleet.agent(agent), nowMs);
@@ -41,6 +57,11 @@
         new AgentReport(agent, Fleet.SERVICE, Fleet.ZONE, 0, false, false, true), nowMs);
   }
 
+  private void reportStopping(int agent) {
+    balancer.onAgentReport(
+        new AgentReport(agent, Fleet.SERVICE, Fleet.ZONE, 0, true, false, false), nowMs);
+  }
+
   private void sendData(FlowId flow, int sequence) {
     Segment segment = Fleet.data(flow, sequence, 10);
     balancer.onClientSegment(segment, Fleet.bytes(segment), nowMs);
@@ -55,7 +76,9 @@
     while (answeredQueries < actions.queried.size()) {
       int agent = actions.queried.get(answeredQueries);
       answeredQueries++;
-      respond(agent, FLOW, agent == HOLDER ? FlowQueryResult.HELD : FlowQueryResult.NOT_HELD);
+      if (agent != silentAgent) {
+        respond(agent, FLOW, agent == HOLDER ? FlowQueryResult.HELD : FlowQueryResult.NOT_HELD);
+      }
     }
   }
 
@@ -67,6 +90,18 @@
     }
   }
 
+  /**
+   * Sends the retransmissions after 200, 600 and 1,400 ms, and ends when the next one is due, 3 s
+   * after the first copy.
+   */
+  private void sendRetransmissions() {
+    for (int intervalMs = 200; intervalMs < 1_600; intervalMs *= 2) {
+      runTicks(intervalMs);
+      sendData(FLOW, 101);
+    }
+    runTicks(1_600);
+  }
+
   // ---- an agent that has reported the end of its target ----
 
   // Guards against the reset of an open flow of a target that has started at the address of an
@@ -146,4 +181,70 @@
     assertThat(actions.queried).doesNotContain(HOLDER);
     assertThat(actions.reset).containsExactly(FLOW);
   }
+
+  // ---- a target that the source does not list ----
+
+  // Guards against the reset of an open flow whose target the source does not list, by a balancer
+  // that has missed the beacons of the target's agent for agentTimeoutMs. Agents send few beacons
+  // to balancers of other zones.
+  @Test
+  void flowOfAnUnlistedTargetWhoseAgentHasBecomeInactiveIsNotReset() {
+    start(0);
+    listTargets(5, SECOND, THIRD, FOURTH);
+    reportAgents(HOLDER, SECOND, THIRD, FOURTH);
+    nowMs += Fleet.POLICY.search().agentTimeoutMs() + 1;
+    reportAgents(SECOND, THIRD, FOURTH);
+    sendData(FLOW, 101);
+    respondToQueries();
+    runTicks(Fleet.POLICY.search().durationMs());
+
+    assertThat(actions.reset).isEmpty();
+    assertThat(actions.lastForwardedTo()).isEqualTo(HOLDER);
+  }
+
+  // As above, for an agent that restarts while its target runs.
+  @Test
+  void flowOfAnUnlistedTargetWhoseAgentRestartsIsNotReset() {
+    start(0);
+    listTargets(5, SECOND, THIRD, FOURTH);
+    reportAgents(HOLDER, SECOND, THIRD, FOURTH);
+    reportStopping(HOLDER);
+    sendData(FLOW, 101);
+    respondToQueries();
+
+    assertThat(actions.reset).isEmpty();
+  }
+
+  // As above, with a flow that is searched for only after stale agents have been evicted.
+  @Test
+  void flowOfAnUnlistedTargetWhoseAgentRestartsIsNotResetAfterASweep() {
+    start(0);
+    listTargets(5, SECOND, THIRD, FOURTH);
+    reportAgents(HOLDER, SECOND, THIRD, FOURTH);
+    reportStopping(HOLDER);
+    nowMs += 1_000;
+    balancer.onSweep(nowMs);
+    sendData(FLOW, 101);
+    respondToQueries();
+
+    assertThat(actions.reset).isEmpty();
+    assertThat(actions.lastForwardedTo()).isEqualTo(HOLDER);
+  }
+
+  // Guards against clients that wait longer than necessary for a machine which is lost with an
+  // unlisted target: searches wait for its agent until it is unresponsive.
+  @Test
+  void lostFlowIsResetOnceTheAgentOfAnUnlistedTargetIsUnresponsive() {
+    start(0);
+    listTargets(5, SECOND, THIRD, FOURTH);
+    reportAgents(HOLDER, SECOND, THIRD, FOURTH);
+    silentAgent = HOLDER;
+    sendData(FLOW, 101);
+    sendRetransmissions();
+    assertThat(actions.reset).isEmpty();
+
+    sendData(FLOW, 101);
+    runTicks(2 * Fleet.POLICY.search().pauseMs());
+    assertThat(actions.reset).containsExactly(FLOW);
+  }
 }
