Take an agent for unresponsive only if others answer the queries that it does not

Callers saw resets of open flows, with reset-lost reason=held-by-none, at targets whose entry the store had dropped. The target of such an entry counts as ended once its agent is unresponsive, and an agent was unresponsive 1.8 s after one unanswered query. A single lost message was enough if nothing queried the agent meanwhile. A balancer without processor time saw all agents as unresponsive, since only its clock went on, and reset the flows of each agent whose beacon it had not read.

An agent is now unresponsive if it has left three queries unanswered, one of them sent 1.8 s after the first, and another agent has answered a query of that time or later. A balancer that reads nothing thus takes no agent for unresponsive, and an agent that was away for a moment has been asked again before it counts as gone. An announced stop stands for all but one of the queries. Queries within 60 ms count as one, as they may share a datagram. A response is taken for that to the oldest query of its agent, since a balancer with a backlog has sent further queries when it reads the responses to the first ones.

The answers that complete the proof often arrive in the search that needs it, so a search now drops ended targets before it queries other services and before it queries again. A lost flow is reset within 120 ms of the search that begins after the 1.8 s, as before: lostFlowIsResetOnceTheAgentOfAGoneTargetIsUnresponsive, searchDoesNotWaitForAGoneTargetWhoseAgentIsKnownToBeUnresponsive.

Before, flowOfAGoneTargetWhoseAgentMissedOneQueryIsNotReset and flowOfAGoneTargetIsNotResetByABalancerThatHasReadNoResponseSinceItsQueries failed: "expected to be empty but was: [100.64.0.7:1>198.18.0.1:443]". Seven of the ten new tests of AgentDirectoryTest failed as well.

--- a/core/src/main/java/io/moorstage/core/balancer/AgentDirectory.java
+++ b/core/src/main/java/io/moorstage/core/balancer/AgentDirectory.java
@@ -5,7 +5,9 @@
 import io.moorstage.core.settings.ForwardingPolicy;
 import io.moorstage.core.state.TargetPhase;
 import io.moorstage.core.state.TargetRecord;
+import java.util.ArrayDeque;
 import java.util.Collection;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.IntPredicate;
@@ -18,23 +20,35 @@
  * <p>An agent is active if it has sent a beacon within {@code agentTimeoutMs}. An agent that is not
  * active need not be unresponsive, since agents send beacons to few balancers and do not answer
  * each beacon. It is unresponsive if it has left queries unanswered for longer than {@code
- * agentTimeoutMs}, or has announced that it stops and has not returned within that time.
+ * agentTimeoutMs} ({@link UnansweredQueries}), or has announced that it stops and has not returned
+ * within that time. Silence alone shows nothing at a balancer that reads no other answers either.
  */
 final class AgentDirectory {
   /** The assumed capacity, in concurrent requests, of a target that the source does not list. */
   private static final int UNLISTED_CAPACITY = 4;
 
+  /** An answer that has not been read by then is lost; a balancer has read some 2.7 s late. */
+  private static final int MAX_ANSWER_DELAY_MS = 10_000;
+
+  private static final long NEVER = Long.MIN_VALUE / 2;
+
   private final ForwardingPolicy policy;
   private final Map<Integer, KnownAgent> knownAgents = new HashMap<>();
 
   /** Whether an agent has ever sent a beacon; its entry may have been evicted. */
   private boolean hasHeardOfAgents;
 
+  /** The unanswered queries by agent address. A beacon or a response removes the entry. */
+  private final Map<Integer, UnansweredQueries> unanswered = new HashMap<>();
+
   /**
-   * The time of the first unanswered query, by agent address. A beacon or a response removes the
-   * entry.
+   * The send times of the queries that may still be answered by agent address, the oldest first. A
+   * balancer without processor time reads answers late, when it has sent further queries.
    */
-  private final Map<Integer, Long> unansweredSinceMs = new HashMap<>();
+  private final Map<Integer, Deque<Long>> sentMs = new HashMap<>();
+
+  /** The send time of the newest query that an agent has answered. */
+  private long newestAnsweredMs = NEVER;
 
   /**
    * The time since which an agent's beacons have reported that its target's process has ended, by
@@ -75,7 +89,7 @@
         sameService ? known.slot() : unlistedSlot(address, report.service(), report.zone(), nowMs);
     boolean becameActive = !isActive(address, nowMs);
     knownAgents.put(address, new KnownAgent(report.service(), slot, nowMs, report.stopping()));
-    unansweredSinceMs.remove(address);
+    unanswered.remove(address);
     if (report.targetEnded()) {
       endedSinceMs.putIfAbsent(address, nowMs);
     } else {
@@ -83,7 +97,7 @@
     }
     if (report.stopping()) {
       // The agent becomes unresponsive unless it returns within agentTimeoutMs, as after a restart.
-      recordQuery(address, nowMs);
+      unanswered.put(address, UnansweredQueries.ofStopping(policy.search(), nowMs));
     }
     return becameActive && !report.stopping();
   }
@@ -119,12 +133,31 @@
 
   /** Records a query to an agent. Agents respond to each query, also for flows they do not know. */
   void recordQuery(int agentAddress, long nowMs) {
-    unansweredSinceMs.putIfAbsent(agentAddress, nowMs);
+    UnansweredQueries queries = unanswered.get(agentAddress);
+    if (queries == null) {
+      unanswered.put(agentAddress, UnansweredQueries.first(policy.search(), nowMs));
+    } else {
+      queries.add(nowMs);
+    }
+    Deque<Long> times = sentMs.computeIfAbsent(agentAddress, address -> new ArrayDeque<>());
+    removeLost(times, nowMs);
+    times.add(nowMs);
   }
 
   /** Records an agent's response to a query. */
   void recordResponse(int agentAddress) {
-    unansweredSinceMs.remove(agentAddress);
+    unanswered.remove(agentAddress);
+    Deque<Long> times = sentMs.get(agentAddress);
+    if (times != null && !times.isEmpty()) {
+      // If an earlier answer was lost, this one is to a later query.
+      newestAnsweredMs = Math.max(newestAnsweredMs, times.remove());
+    }
+  }
+
+  private static void removeLost(Deque<Long> times, long nowMs) {
+    while (!times.isEmpty() && nowMs - times.element() > MAX_ANSWER_DELAY_MS) {
+      times.remove();
+    }
   }
 
   /** Returns whether an agent has sent a beacon within {@code agentTimeoutMs}. */
@@ -138,9 +171,10 @@
    * is not active.
    */
   boolean isUnresponsive(int agentAddress, long nowMs) {
-    Long sinceMs = unansweredSinceMs.get(agentAddress);
-    boolean unanswered = sinceMs != null && nowMs - sinceMs > policy.search().agentTimeoutMs();
-    return unanswered && !isActive(agentAddress, nowMs);
+    UnansweredQueries queries = unanswered.get(agentAddress);
+    return queries != null
+        && queries.showUnresponsive(newestAnsweredMs, nowMs)
+        && !isActive(agentAddress, nowMs);
   }
 
   @Nullable
@@ -182,6 +216,8 @@
     int retentionMs = policy.retention().goneTargetMs();
     knownAgents.values().removeIf(agent -> nowMs - agent.lastBeaconAtMs() > retentionMs);
     endedSinceMs.values().removeIf(sinceMs -> nowMs - sinceMs > retentionMs);
-    unansweredSinceMs.values().removeIf(sinceMs -> nowMs - sinceMs > retentionMs);
+    unanswered.values().removeIf(queries -> nowMs - queries.firstMs() > retentionMs);
+    sentMs.values().forEach(times -> removeLost(times, nowMs));
+    sentMs.values().removeIf(Deque::isEmpty);
   }
 }
--- a/core/src/main/java/io/moorstage/core/balancer/BalancerTables.java
+++ b/core/src/main/java/io/moorstage/core/balancer/BalancerTables.java
@@ -286,6 +286,12 @@
     return slot == null ? pools.at(agentAddress) : slot;
   }
 
+  /** Returns whether the source lists a target of any service at an address. */
+  boolean isListed(int address) {
+    TargetSlot slot = pools.at(address);
+    return slot != null && slot.record().isListed();
+  }
+
   /** Evicts closed and idle flows after their retention periods, and stale agents. */
   void sweep(long nowMs) {
     for (Iterator<BalancerFlow> all = flows.values().iterator(); all.hasNext(); ) {
--- a/core/src/main/java/io/moorstage/core/balancer/PossibleHolders.java
+++ b/core/src/main/java/io/moorstage/core/balancer/PossibleHolders.java
@@ -52,6 +52,20 @@
     return holders.inOrder();
   }
 
+  /** Returns whether the target at an address has ended, so that no search has to wait for it. */
+  boolean hasEnded(int address, long nowMs) {
+    return hasEnded(address, tables.isListed(address), nowMs);
+  }
+
+  // A target that the source does not list and whose agent is unresponsive has ended, and its flows
+  // with it. An agent that is merely not active may be restarting, or its beacons may not have been
+  // read. An agent that stops after its target reports the end of the target. Without that report,
+  // searches would wait 1.8 s for the agent's response.
+  private boolean hasEnded(int address, boolean isListed, long nowMs) {
+    AgentDirectory agents = tables.agents();
+    return agents.hasTargetEnded(address) || !isListed && agents.isUnresponsive(address, nowMs);
+  }
+
   /** Targets that may hold one flow, grouped by service. */
   private final class Holders {
     private final BalancerFlow flow;
@@ -64,8 +78,7 @@
     }
 
     private void addListed(TargetSlot slot) {
-      if (!tables.agents().hasTargetEnded(slot.address())
-          && (slot.record().isListed() || mayRunUnlisted(slot.address()))) {
+      if (!hasEnded(slot.address(), slot.record().isListed(), nowMs)) {
         add(slot);
       }
     }
@@ -73,20 +86,11 @@
     // A target may still serve flows although the source has not listed it since this balancer
     // started.
     private void addUnlisted(AgentDirectory.KnownAgent agent) {
-      int address = agent.slot().address();
-      if (!tables.agents().hasTargetEnded(address) && mayRunUnlisted(address)) {
+      if (!hasEnded(agent.slot().address(), false, nowMs)) {
         add(agent.slot());
       }
     }
 
-    // A target that the source does not list and whose agent is unresponsive has ended, and its
-    // flows with it. An agent that is merely not active may be restarting, or its beacons may not
-    // have been read. An agent that stops after its target reports the end of the target. Without
-    // that report, searches would wait 1.8 s for the agent's response.
-    private boolean mayRunUnlisted(int address) {
-      return !tables.agents().isUnresponsive(address, nowMs);
-    }
-
     private void add(TargetSlot slot) {
       if (!flow.isNonHolder(slot.address())) {
         byService
--- a/core/src/main/java/io/moorstage/core/balancer/Search.java
+++ b/core/src/main/java/io/moorstage/core/balancer/Search.java
@@ -11,6 +11,7 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Set;
+import java.util.function.IntPredicate;
 import javax.annotation.Nullable;
 
 /**
@@ -226,6 +227,12 @@
     return count;
   }
 
+  /** Removes targets whose agents are still to be queried or have not responded in time. */
+  void removeUnanswered(IntPredicate byAddress) {
+    toQuery.removeIf(slot -> byAddress.test(slot.address()));
+    unresponsive.removeIf(slot -> byAddress.test(slot.address()));
+  }
+
   boolean hasUnresponsive() {
     return !unresponsive.isEmpty();
   }
--- a/core/src/main/java/io/moorstage/core/balancer/SearchQueries.java
+++ b/core/src/main/java/io/moorstage/core/balancer/SearchQueries.java
@@ -70,6 +70,7 @@
    */
   void queryOtherServices(Search search, long nowMs) {
     if (search.markOtherServicesQueried()) {
+      removeEnded(search, nowMs);
       search.addToQuery(holders.allServicesInOrder(search.flow(), nowMs));
       queryRound(search, FIRST_ROUND_SIZE * ROUND_GROWTH_FACTOR, nowMs);
     }
@@ -80,10 +81,17 @@
    * or the agent may have been unavailable for a moment.
    */
   void queryAgain(Search search, long nowMs) {
+    removeEnded(search, nowMs);
     int unresponsiveCount = search.requeueUnresponsive();
     queryRound(search, unresponsiveCount, nowMs);
   }
 
+  // Whether an agent is unresponsive often shows only when others answer the queries of this
+  // search.
+  private void removeEnded(Search search, long nowMs) {
+    search.removeUnanswered(address -> holders.hasEnded(address, nowMs));
+  }
+
   /**
    * Queries an agent that has become active, unless it will be queried with the other services
    * later.
@@ -127,7 +135,7 @@
       if (tables.agents().isUnresponsive(slot.address(), nowMs)) {
         // The agent may be available again, so it is queried, but the search does not wait for it.
         search.addUnresponsive(slot);
-        actions.query(slot.address(), search.flow().id());
+        send(search, slot, nowMs);
       } else {
         query(search, slot, nowMs);
         queried++;
@@ -145,6 +153,10 @@
 
   private void query(Search search, TargetSlot slot, long nowMs) {
     search.addPending(slot);
+    send(search, slot, nowMs);
+  }
+
+  private void send(Search search, TargetSlot slot, long nowMs) {
     tables.agents().recordQuery(slot.address(), nowMs);
     actions.query(slot.address(), search.flow().id());
   }
--- a/core/src/main/java/io/moorstage/core/settings/SearchSettings.java
+++ b/core/src/main/java/io/moorstage/core/settings/SearchSettings.java
@@ -12,8 +12,9 @@
  * @param maxHeldSegments the most segments of one flow that are held during its search
  * @param agentDiscoveryMs how long a balancer must have run before it assumes that it knows all
  *     agents, in milliseconds
- * @param agentTimeoutMs how long an agent may leave queries unanswered, and send no beacon, before
- *     it counts as unavailable and searches no longer wait for it, in milliseconds
+ * @param agentTimeoutMs how long an agent may leave queries unanswered that other agents answer,
+ *     and send no beacon, before it counts as unavailable and searches no longer wait for it, in
+ *     milliseconds
  */
 public record SearchSettings(
     int responseTimeoutMs,
--- a/core/src/test/java/io/moorstage/core/balancer/AgentDirectoryTest.java
+++ b/core/src/test/java/io/moorstage/core/balancer/AgentDirectoryTest.java
@@ -6,9 +6,10 @@
 import io.moorstage.core.message.AgentReport;
 import org.junit.jupiter.api.Test;
 
-/** Tests when a balancer takes all its agents for lost. */
+/** Tests when a balancer takes all its agents for lost, and when one of them for unresponsive. */
 class AgentDirectoryTest {
   private static final int A = 0x0A010010;
+  private static final int B = 0x0A010011;
   private static final int PERIOD_MS = 1_000;
 
   /** When the entry of an agent is evicted that has announced its stop after 100 ms. */
@@ -17,6 +18,9 @@
   private static final AgentReport STOPPING =
       new AgentReport(A, Fleet.SERVICE, Fleet.ZONE, 0, true, false, false);
 
+  private static final int TIMEOUT_MS = Fleet.POLICY.search().agentTimeoutMs();
+  private static final int RESPONSE_TIMEOUT_MS = Fleet.POLICY.search().responseTimeoutMs();
+
   private final AgentDirectory agents = new AgentDirectory(Fleet.POLICY);
 
   @Test
@@ -58,4 +62,117 @@
     agents.sweep(EVICTED_AT_MS);
     assertThat(agents.get(A)).isNull();
   }
+
+  // ---- unresponsive agents ----
+
+  private void queryA(int... timesMs) {
+    for (int timeMs : timesMs) {
+      agents.recordQuery(A, timeMs);
+    }
+  }
+
+  private void queryAndAnswerB(int timeMs) {
+    agents.recordQuery(B, timeMs);
+    agents.recordResponse(B);
+  }
+
+  private boolean isUnresponsiveAt(int timeMs) {
+    return agents.isUnresponsive(A, timeMs);
+  }
+
+  @Test
+  void agentIsUnresponsiveThatAnswersNoQueryForTheTimeout() {
+    queryA(0, 1_000, TIMEOUT_MS + 1);
+    queryAndAnswerB(TIMEOUT_MS + 1);
+    assertThat(isUnresponsiveAt(TIMEOUT_MS + 1 + RESPONSE_TIMEOUT_MS)).isTrue();
+  }
+
+  @Test
+  void agentHasTheResponseTimeoutForItsLastQuery() {
+    queryA(0, 1_000, TIMEOUT_MS + 1);
+    queryAndAnswerB(TIMEOUT_MS + 1);
+    assertThat(isUnresponsiveAt(TIMEOUT_MS + RESPONSE_TIMEOUT_MS)).isFalse();
+  }
+
+  // A balancer that reads no input would take all agents for unresponsive.
+  @Test
+  void agentIsNotUnresponsiveUntilAnotherOneHasAnsweredAQueryOfTheSameTime() {
+    queryA(0, 1_000, TIMEOUT_MS + 1, 5_000);
+    queryAndAnswerB(TIMEOUT_MS);
+    assertThat(isUnresponsiveAt(10_000)).isFalse();
+    queryAndAnswerB(TIMEOUT_MS + 1);
+    assertThat(isUnresponsiveAt(10_000)).isTrue();
+  }
+
+  // A response that is read late may be to the first of several queries.
+  @Test
+  void responseCountsAsOneToTheFirstUnansweredQuery() {
+    queryA(0, 1_000, TIMEOUT_MS + 1);
+    agents.recordQuery(B, 100);
+    queryAndAnswerB(TIMEOUT_MS + 1);
+    assertThat(isUnresponsiveAt(10_000)).isFalse();
+  }
+
+  // A balancer that reads 2 s late has sent further queries when it reads the answers to the first.
+  @Test
+  void responsesThatAreReadLateCountAsThoseToTheFirstQueries() {
+    agents.recordQuery(B, 0);
+    agents.recordQuery(B, 10);
+    queryA(100, 1_000);
+    agents.recordResponse(B);
+    queryA(101 + TIMEOUT_MS);
+    agents.recordQuery(B, 101 + TIMEOUT_MS);
+    agents.recordResponse(B);
+    assertThat(isUnresponsiveAt(5_000)).isFalse();
+    agents.recordResponse(B);
+    assertThat(isUnresponsiveAt(5_000)).isTrue();
+  }
+
+  // Otherwise one lost answer would keep all later ones from counting.
+  @Test
+  void lostResponseIsForgotten() {
+    agents.recordQuery(B, 0);
+    queryA(20_000, 21_000, 20_001 + TIMEOUT_MS);
+    queryAndAnswerB(20_001 + TIMEOUT_MS);
+    assertThat(isUnresponsiveAt(30_000)).isTrue();
+  }
+
+  // The agent may have been unavailable for a moment, and nothing asked it since.
+  @Test
+  void queriesWithinLessThanTheTimeoutDoNotMakeAnAgentUnresponsive() {
+    queryA(0, 100, 200, TIMEOUT_MS);
+    queryAndAnswerB(10_000);
+    assertThat(isUnresponsiveAt(10_100)).isFalse();
+  }
+
+  // Queries about several flows at a time are lost together.
+  @Test
+  void queriesSentTogetherCountAsOne() {
+    queryA(0, 0, 0, RESPONSE_TIMEOUT_MS - 1, TIMEOUT_MS + 1, TIMEOUT_MS + 1);
+    queryAndAnswerB(TIMEOUT_MS + 1);
+    assertThat(isUnresponsiveAt(10_000)).isFalse();
+  }
+
+  @Test
+  void responseOrBeaconOfAnAgentEndsItsSilence() {
+    queryA(0, 1_000, TIMEOUT_MS + 1);
+    queryAndAnswerB(TIMEOUT_MS + 1);
+    agents.recordResponse(A);
+    assertThat(isUnresponsiveAt(10_000)).isFalse();
+
+    queryA(20_000, 21_000, 20_001 + TIMEOUT_MS);
+    queryAndAnswerB(20_001 + TIMEOUT_MS);
+    assertThat(isUnresponsiveAt(30_000)).isTrue();
+    agents.recordReport(Fleet.agent(A), 30_000);
+    assertThat(isUnresponsiveAt(40_000)).isFalse();
+  }
+
+  @Test
+  void stoppedAgentIsUnresponsiveIfItLeavesOneQueryUnansweredAfterTheTimeout() {
+    agents.recordReport(STOPPING, 0);
+    queryAndAnswerB(TIMEOUT_MS + 1);
+    assertThat(isUnresponsiveAt(10_000)).isFalse();
+    queryA(TIMEOUT_MS + 1);
+    assertThat(isUnresponsiveAt(10_000)).isTrue();
+  }
 }
--- a/core/src/test/java/io/moorstage/core/balancer/UnprovenLossTest.java
+++ b/core/src/test/java/io/moorstage/core/balancer/UnprovenLossTest.java
@@ -24,6 +24,7 @@
   private static final int THIRD = 0x0A010012;
   private static final int FOURTH = 0x0A010013;
   private static final FlowId FLOW = Fleet.flow(1);
+  private static final FlowId OTHER_FLOW = Fleet.flow(2);
   private static final int TICK_MS = 20;
 
   private final Fleet.RecordingBalancerActions actions = new Fleet.RecordingBalancerActions();
@@ -46,6 +47,17 @@
     balancer.onState(Fleet.state(revision, targets.toArray(new TargetRecord[0])), nowMs);
   }
 
+  private void listHolderAsGone() {
+    balancer.onState(
+        Fleet.state(
+            6,
+            Fleet.target(HOLDER, TargetPhase.READY, 1).gone(6),
+            Fleet.target(SECOND, TargetPhase.READY, 1),
+            Fleet.target(THIRD, TargetPhase.READY, 1),
+            Fleet.target(FOURTH, TargetPhase.READY, 1)),
+        nowMs);
+  }
+
   private void reportAgents(int... agents) {
     for (int agent : agents) {
       balancer.onAgentReport(Fleet.agent(agent), nowMs);
@@ -244,7 +256,85 @@
     assertThat(actions.reset).isEmpty();
 
     sendData(FLOW, 101);
-    runTicks(2 * Fleet.POLICY.search().pauseMs());
+    runTicks(2 * Fleet.POLICY.search().responseTimeoutMs());
     assertThat(actions.reset).containsExactly(FLOW);
   }
+
+  // ---- a target that is gone ----
+
+  // Guards against the reset of an open flow whose target the source has dropped during an outage.
+  // One lost response of the target's agent, from the search for another flow, counted as the end
+  // of the target, so that the agent was not queried.
+  @Test
+  void flowOfAGoneTargetWhoseAgentMissedOneQueryIsNotReset() {
+    start(0);
+    listTargets(5, HOLDER, SECOND, THIRD, FOURTH);
+    reportAgents(HOLDER, SECOND, THIRD, FOURTH);
+    sendData(OTHER_FLOW, 101);
+    respond(SECOND, OTHER_FLOW, FlowQueryResult.HELD);
+    answeredQueries = actions.queried.size();
+
+    nowMs += Fleet.POLICY.search().agentTimeoutMs() + 1;
+    reportAgents(SECOND, THIRD, FOURTH);
+    listHolderAsGone();
+    sendData(FLOW, 101);
+    respondToQueries();
+    runTicks(Fleet.POLICY.search().durationMs());
+
+    assertThat(actions.reset).isEmpty();
+    assertThat(actions.lastForwardedTo()).isEqualTo(HOLDER);
+  }
+
+  // As above, for a balancer that has read no input for agentTimeoutMs, so that the queries of all
+  // agents are without a response. That says nothing about the agent whose response was dropped.
+  @Test
+  void flowOfAGoneTargetIsNotResetByABalancerThatHasReadNoResponseSinceItsQueries() {
+    start(0);
+    listTargets(5, HOLDER, SECOND, THIRD, FOURTH);
+    reportAgents(HOLDER, SECOND, THIRD, FOURTH);
+    int queryIntervalMs = Fleet.POLICY.search().agentTimeoutMs() / 3;
+    for (int port = 2; port < 5; port++) {
+      sendData(Fleet.flow(port), 101);
+      nowMs += queryIntervalMs;
+    }
+    answeredQueries = actions.queried.size();
+
+    nowMs += TICK_MS;
+    reportAgents(SECOND, THIRD, FOURTH);
+    listHolderAsGone();
+    sendData(FLOW, 101);
+    respondToQueries();
+    runTicks(Fleet.POLICY.search().durationMs());
+
+    assertThat(actions.reset).isEmpty();
+    assertThat(actions.lastForwardedTo()).isEqualTo(HOLDER);
+  }
+
+  // Guards against clients that wait longer than necessary for a lost machine whose target is gone.
+  @Test
+  void lostFlowIsResetOnceTheAgentOfAGoneTargetIsUnresponsive() {
+    start(0);
+    listTargets(5, HOLDER, SECOND, THIRD, FOURTH);
+    reportAgents(HOLDER, SECOND, THIRD, FOURTH);
+    silentAgent = HOLDER;
+    listHolderAsGone();
+    sendData(FLOW, 101);
+    sendRetransmissions();
+    assertThat(actions.reset).isEmpty();
+
+    sendData(FLOW, 101);
+    runTicks(2 * Fleet.POLICY.search().responseTimeoutMs());
+    assertThat(actions.reset).containsExactly(FLOW);
+  }
+
+  // As above, for the next flow that is searched for: its search must not wait at all.
+  @Test
+  void searchDoesNotWaitForAGoneTargetWhoseAgentIsKnownToBeUnresponsive() {
+    lostFlowIsResetOnceTheAgentOfAGoneTargetIsUnresponsive();
+    int queryCount = actions.queried.size();
+    sendData(FLOW, 101);
+    respondToQueries();
+    assertThat(actions.queried.subList(queryCount, actions.queried.size())).doesNotContain(HOLDER);
+    assertThat(actions.reset).containsExactly(FLOW, FLOW);
+  }
 }
