Keep a restarted agent from resetting a flow that its target has only accepted

Callers saw resets of flows that were open at another target. A target may accept a copy of an opening whose client goes on at a target that accepted an earlier one. An agent that had restarted in between took the acceptance for a segment of a flow that its target holds. When a balancer then offered the target a segment of the flow and the target returned it, the agent reset the flow instead of giving the segment back.

The agent now sets the stage of such a flow from the target's segment, as it does for flows that it has opened: an acceptance leaves it accepted, so that a returned segment is given back, and any later segment shows that the target holds it. A flow that is only accepted is not counted as held either.

--- a/core/src/main/java/io/moorstage/core/agent/AgentFlow.java
+++ b/core/src/main/java/io/moorstage/core/agent/AgentFlow.java
@@ -108,9 +108,13 @@
     return new AgentFlow(id, Stage.OFFERED, 0, balancerAddress, nowMs);
   }
 
-  /** Returns a flow that the target holds, as a segment of it shows; no balancer is known yet. */
+  /**
+   * Returns a flow that an earlier process of the agent has delivered to the target, as a segment
+   * of the target shows; no balancer is known yet. {@link #onTargetSegment} sets its stage: an
+   * acceptance does not show that the target holds the flow, any later segment does.
+   */
   static AgentFlow held(FlowId id, long nowMs) {
-    return new AgentFlow(id, Stage.OPEN, 0, 0, nowMs);
+    return new AgentFlow(id, Stage.OPENING, 0, 0, nowMs);
   }
 
   FlowId id() {
