Reset an unknown flow only once the balancer has read an agent's beacon

Callers saw resets of open flows, with reset-lost reason=held-by-none, at targets that the store did not list, by balancers that had started while they had little processor time. A balancer took all agents for known 1.2 s after its start, though it had read no beacon by then and knew only the listed ones.

It must now have read a beacon as well. Until then a search ends without a reset, and an unconfirmed target gets two segments. The rule stood twice, for the verdict and for unconfirmed targets; both use BalancerTables.knowsAllAgents now.

Before, flowOfAnUnlistedTargetIsNotResetByABalancerThatHasReadNoBeaconYet failed: "expected to be empty but was: [100.64.0.7:1>198.18.0.1:443]".

SearchVerdictTest applies the rule to tables with and without a beacon and keeps its assertions.

--- a/core/src/main/java/io/moorstage/core/balancer/AgentDirectory.java
+++ b/core/src/main/java/io/moorstage/core/balancer/AgentDirectory.java
@@ -75,6 +75,11 @@
     this.policy = policy;
   }
 
+  /** Returns whether an agent has ever sent a beacon. */
+  boolean hasHeardOfAgents() {
+    return hasHeardOfAgents;
+  }
+
   /**
    * Records a beacon.
    *
--- a/core/src/main/java/io/moorstage/core/balancer/BalancerTables.java
+++ b/core/src/main/java/io/moorstage/core/balancer/BalancerTables.java
@@ -74,8 +74,12 @@
     return zone;
   }
 
-  long startedAtMs() {
-    return startedAtMs;
+  /**
+   * Returns whether the balancer knows all agents: it has run for {@code agentDiscoveryMs} and has
+   * read a beacon meanwhile. A balancer without processor time reads none.
+   */
+  boolean knowsAllAgents(long nowMs) {
+    return agents.hasHeardOfAgents() && nowMs - startedAtMs > policy.search().agentDiscoveryMs();
   }
 
   long ageOfState(long nowMs) {
--- a/core/src/main/java/io/moorstage/core/balancer/FlowLocator.java
+++ b/core/src/main/java/io/moorstage/core/balancer/FlowLocator.java
@@ -372,7 +372,7 @@
   private void conclude(Search search, long nowMs) {
     BalancerFlow flow = search.flow();
     long ageMs = tables.ageOfState(nowMs);
-    switch (SearchVerdict.of(search, settings, tables.startedAtMs(), nowMs)) {
+    switch (SearchVerdict.of(search, settings, tables.knowsAllAgents(nowMs), nowMs)) {
       case HELD_BY_NONE -> {
         log.decided(Decision.RESET_LOST, flow.id(), 0, "held-by-none", ageMs);
         actions.reset(flow.id(), search.acknowledged());
--- a/core/src/main/java/io/moorstage/core/balancer/UnconfirmedHolders.java
+++ b/core/src/main/java/io/moorstage/core/balancer/UnconfirmedHolders.java
@@ -45,17 +45,13 @@
     BalancerFlow flow = search.flow();
     int address = flow.target().address();
     boolean isSpeculative = search.awaitsOtherAgentThan(address);
-    if (!isSpeculative && !search.hasOtherCandidateThan(address) && knowsAllAgents(nowMs)) {
+    if (!isSpeculative && !search.hasOtherCandidateThan(address) && tables.knowsAllAgents(nowMs)) {
       return true;
     }
     return flow.unconfirmedSegments() < MAX_SEGMENTS
         && (!isSpeculative || flow.speculativeSegments() < SearchOffers.MAX_SPECULATIVE_SEGMENTS);
   }
 
-  private boolean knowsAllAgents(long nowMs) {
-    return nowMs - tables.startedAtMs() > settings.agentDiscoveryMs();
-  }
-
   /** Sends a segment to the unconfirmed target of a flow. */
   void forward(Search search, ByteBuffer datagram) {
     BalancerFlow flow = search.flow();
--- a/core/src/main/java/io/moorstage/core/settings/SearchSettings.java
+++ b/core/src/main/java/io/moorstage/core/settings/SearchSettings.java
@@ -10,8 +10,8 @@
  *     milliseconds; if it has not been given back by then, its target is assumed to be the flow's
  *     holder until its agent reports or denies that
  * @param maxHeldSegments the most segments of one flow that are held during its search
- * @param agentDiscoveryMs how long a balancer must have run before it assumes that it knows all
- *     agents, in milliseconds
+ * @param agentDiscoveryMs how long a balancer that has read a beacon must have run before it
+ *     assumes that it knows all agents, in milliseconds
  * @param agentTimeoutMs how long an agent may leave queries unanswered that other agents answer,
  *     and send no beacon, before it counts as unavailable and searches no longer wait for it, in
  *     milliseconds
--- a/core/src/test/java/io/moorstage/core/balancer/FlowLocatorRouteTest.java
+++ b/core/src/test/java/io/moorstage/core/balancer/FlowLocatorRouteTest.java
@@ -6,6 +6,7 @@
 import io.moorstage.core.flow.FlowId;
 import io.moorstage.core.flow.Segment;
 import io.moorstage.core.log.DecisionLog;
+import io.moorstage.core.message.AgentReport;
 import io.moorstage.core.message.FlowQueryResult;
 import io.moorstage.core.message.GiveBackReason;
 import io.moorstage.core.placement.TargetPool;
@@ -78,6 +79,14 @@
     balancer = new FlowBalancer(Fleet.POLICY, Fleet.ZONE, actions, DecisionLog.NONE, 0);
   }
 
+  private void reportAgents() {
+    for (TargetRecord target : targets) {
+      balancer.onAgentReport(
+          new AgentReport(target.address(), target.service(), Fleet.ZONE, 0, false, false, false),
+          nowMs);
+    }
+  }
+
   private void applyRoutes(long version, ForwardingRoute... routes) {
     state = state.replaceBy(Fleet.state(version + 5, version, List.of(routes), targets));
     balancer.onState(state, nowMs);
@@ -259,6 +268,7 @@
 
   @Test
   void flowThatNoTargetOfAnyServiceHoldsIsResetOnceAllAgentsHaveResponded() {
+    reportAgents();
     applyRouteTo(2, SERVICE);
     sendClientData();
     respondToAll(FlowQueryResult.NOT_HELD);
@@ -288,6 +298,7 @@
 
   @Test
   void segmentIsNeverOfferedToAServiceThatItsRouteIsNotKnownToHaveHad() {
+    reportAgents();
     applyRouteTo(2, SERVICE);
     sendClientData();
     runSearch(FLOW, 0);
--- a/core/src/test/java/io/moorstage/core/balancer/SearchVerdictTest.java
+++ b/core/src/test/java/io/moorstage/core/balancer/SearchVerdictTest.java
@@ -6,6 +6,7 @@
 import io.moorstage.core.placement.TargetSlot;
 import io.moorstage.core.settings.SearchSettings;
 import io.moorstage.core.state.TargetPhase;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 /** Tests the outcome of a search that has no agent left to query and may make no offer. */
@@ -18,13 +19,25 @@
   private final TargetSlot target =
       new TargetSlot(Fleet.target(0x0A010010, TargetPhase.READY, 1), 0);
 
+  private BalancerTables tables = newTables();
+
+  private static BalancerTables newTables() {
+    return new BalancerTables(
+        Fleet.POLICY, Fleet.ZONE, new Fleet.RecordingBalancerActions(), BALANCER_STARTED_AT_MS);
+  }
+
   private static Search searchStartedAt(long nowMs) {
     BalancerFlow flow = BalancerFlow.unknown(Fleet.flow(1), Fleet.SERVICE, nowMs);
     return new Search(flow, 7, nowMs);
   }
 
-  private static SearchVerdict verdictOf(Search search, long nowMs) {
-    return SearchVerdict.of(search, SETTINGS, BALANCER_STARTED_AT_MS, nowMs);
+  private SearchVerdict verdictOf(Search search, long nowMs) {
+    return SearchVerdict.of(search, SETTINGS, tables.knowsAllAgents(nowMs), nowMs);
+  }
+
+  @BeforeEach
+  void reportAgent() {
+    tables.agents().recordReport(Fleet.agent(target.address()), BALANCER_STARTED_AT_MS);
   }
 
   @Test
@@ -41,6 +54,14 @@
     assertThat(verdictOf(search, AGENTS_KNOWN_AT_MS - 1)).isEqualTo(SearchVerdict.QUERY_AGAIN);
   }
 
+  @Test
+  void balancerThatHasReadNoBeaconQueriesAgain() {
+    tables = newTables();
+    Search search = searchStartedAt(AGENTS_KNOWN_AT_MS);
+
+    assertThat(verdictOf(search, AGENTS_KNOWN_AT_MS)).isEqualTo(SearchVerdict.QUERY_AGAIN);
+  }
+
   @Test
   void unresponsiveAgentIsQueriedAgainUntilTheMaximumDurationOfTheSearch() {
     Search search = searchStartedAt(AGENTS_KNOWN_AT_MS);
--- a/core/src/test/java/io/moorstage/core/balancer/UnprovenLossTest.java
+++ b/core/src/test/java/io/moorstage/core/balancer/UnprovenLossTest.java
@@ -260,6 +260,24 @@
     assertThat(actions.reset).containsExactly(FLOW);
   }
 
+  // Guards against the reset of an open flow whose target the source does not list, by a balancer
+  // that has run for agentDiscoveryMs without reading a beacon. The time says nothing about the
+  // agents that it knows if it had no processor meanwhile.
+  @Test
+  void flowOfAnUnlistedTargetIsNotResetByABalancerThatHasReadNoBeaconYet() {
+    start(0);
+    nowMs = 5_000;
+    listTargets(5, SECOND, THIRD, FOURTH);
+    sendData(FLOW, 101);
+    respondToQueries();
+
+    assertThat(actions.reset).isEmpty();
+    nowMs += TICK_MS;
+    reportAgents(HOLDER, SECOND, THIRD, FOURTH);
+    respondToQueries();
+    assertThat(actions.lastForwardedTo()).isEqualTo(HOLDER);
+  }
+
   // ---- a target that is gone ----
 
   // Guards against the reset of an open flow whose target the source has dropped during an outage.
