--- a/core/src/main/java/io/moorstage/core/balancer/BalancerTables.java
+++ b/core/src/main/java/io/moorstage/core/balancer/BalancerTables.java
@@ -55,7 +55,15 @@
     if (newer.configuration().version() > 0) {
       unlistedTargets.recordState(nowMs);
     }
-    pools = pools.update(newer, nowMs);
+    TargetPools previous = pools;
+    pools = previous.update(newer, nowMs);
+    agents.discardEndsOfReplaced(address -> isReplaced(previous, address));
+  }
+
+  // A target keeps its slot as long as it is the same start.
+  private boolean isReplaced(TargetPools previous, int address) {
+    TargetSlot slot = pools.at(address);
+    return slot != null && slot != previous.at(address);
   }
 
   ForwardingConfiguration configuration() {
@@ -66,8 +74,12 @@
     return zone;
   }
 
-  long startedAtMs() {
-    return startedAtMs;
+  /**
+   * Returns whether the balancer knows all agents: it has run for {@code agentDiscoveryMs} and has
+   * read a beacon meanwhile. A balancer without processor time reads none.
+   */
+  boolean knowsAllAgents(long nowMs) {
+    return agents.hasHeardOfAgents() && nowMs - startedAtMs > policy.search().agentDiscoveryMs();
   }
 
   long ageOfState(long nowMs) {
@@ -278,6 +290,12 @@
     return slot == null ? pools.at(agentAddress) : slot;
   }
 
+  /** Returns whether the source lists a target of any service at an address. */
+  boolean isListed(int address) {
+    TargetSlot slot = pools.at(address);
+    return slot != null && slot.record().isListed();
+  }
+
   /** Evicts closed and idle flows after their retention periods, and stale agents. */
   void sweep(long nowMs) {
     for (Iterator<BalancerFlow> all = flows.values().iterator(); all.hasNext(); ) {
--- a/core/src/main/java/io/moorstage/core/balancer/PossibleHolders.java
+++ b/core/src/main/java/io/moorstage/core/balancer/PossibleHolders.java
@@ -2,7 +2,6 @@
 
 import io.moorstage.core.placement.TargetPool;
 import io.moorstage.core.placement.TargetSlot;
-import io.moorstage.core.state.TargetPhase;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -53,6 +52,20 @@
     return holders.inOrder();
   }
 
+  /** Returns whether the target at an address has ended, so that no search has to wait for it. */
+  boolean hasEnded(int address, long nowMs) {
+    return hasEnded(address, tables.isListed(address), nowMs);
+  }
+
+  // A target that the source does not list and whose agent is unresponsive has ended, and its flows
+  // with it. An agent that is merely not active may be restarting, or its beacons may not have been
+  // read. An agent that stops after its target reports the end of the target. Without that report,
+  // searches would wait 1.8 s for the agent's response.
+  private boolean hasEnded(int address, boolean isListed, long nowMs) {
+    AgentDirectory agents = tables.agents();
+    return agents.hasTargetEnded(address) || !isListed && agents.isUnresponsive(address, nowMs);
+  }
+
   /** Targets that may hold one flow, grouped by service. */
   private final class Holders {
     private final BalancerFlow flow;
@@ -65,14 +78,7 @@
     }
 
     private void addListed(TargetSlot slot) {
-      // A target that is gone and whose agent is unresponsive has ended, and its flows with it. An
-      // agent that stops after its target reports the end of the target. Without that report,
-      // searches would wait 1.8 s for the agent's response.
-      boolean gone = slot.record().phase() == TargetPhase.GONE;
-      boolean ended =
-          (gone && tables.agents().isUnresponsive(slot.address(), nowMs))
-              || tables.agents().hasTargetEnded(slot.address());
-      if (!ended) {
+      if (!hasEnded(slot.address(), slot.record().isListed(), nowMs)) {
         add(slot);
       }
     }
@@ -80,9 +86,7 @@
     // A target may still serve flows although the source has not listed it since this balancer
     // started.
     private void addUnlisted(AgentDirectory.KnownAgent agent) {
-      int address = agent.slot().address();
-      boolean ended = tables.agents().hasTargetEnded(address);
-      if (!ended && tables.agents().isActive(address, nowMs)) {
+      if (!hasEnded(agent.slot().address(), false, nowMs)) {
         add(agent.slot());
       }
     }
--- a/core/src/main/java/io/moorstage/core/balancer/UnconfirmedHolders.java
+++ b/core/src/main/java/io/moorstage/core/balancer/UnconfirmedHolders.java
@@ -45,7 +45,7 @@
   private boolean isOnlyPossible(Search search, long nowMs) {
     return !isSpeculative(search)
         && !search.hasOtherCandidateThan(search.flow().target().address())
-        && nowMs - tables.startedAtMs() > settings.agentDiscoveryMs();
+        && tables.knowsAllAgents(nowMs);
   }
 
   private static boolean isSpeculative(Search search) {
