--- a/lab/src/main/java/io/moorstage/lab/client/ClientListener.java
+++ b/lab/src/main/java/io/moorstage/lab/client/ClientListener.java
@@ -11,7 +11,7 @@
   void onSend(ByteBuffer packet);
 
   /** Called before a request is sent for the first time. */
-  default void onRequest() {}
+  default void onRequest(ClientFlow flow) {}
 
   /**
    * Called when the response to a request arrives.
@@ -27,6 +27,9 @@
    */
   default void onRequestEnd(ClientFlow flow, boolean served) {}
 
+  /** Called after a flow has ended, for any reason. */
+  default void onEnd(ClientFlow flow) {}
+
   /** Called when an acceptance arrives for a flow that has ended. */
   default void onLateAcceptance(int port) {}
 
--- a/lab/src/main/java/io/moorstage/lab/client/FlowClients.java
+++ b/lab/src/main/java/io/moorstage/lab/client/FlowClients.java
@@ -140,6 +140,7 @@
         step(flow, System.nanoTime());
       }
       if (flow.hasEnded()) {
+        listener.onEnd(flow);
         all.remove();
       }
     }
@@ -180,7 +181,7 @@
       }
       case REQUEST -> {
         flow.startRequest(flow.isFirstRequestDue() ? flow.firstNumber() : nextRequest++, nowNs);
-        listener.onRequest();
+        listener.onRequest(flow);
         sendRequest(flow);
       }
       case RETRY -> {
--- a/lab/src/main/java/io/moorstage/lab/demo/DemoClientListener.java
+++ b/lab/src/main/java/io/moorstage/lab/demo/DemoClientListener.java
@@ -24,7 +24,8 @@
   }
 
   @Override
-  public void onRequest() {
+  public void onRequest(ClientFlow flow) {
+    super.onRequest(flow);
     sent.incrementAndGet();
   }
 
--- a/lab/src/main/java/io/moorstage/lab/edge/Packets.java
+++ b/lab/src/main/java/io/moorstage/lab/edge/Packets.java
@@ -1,5 +1,6 @@
 package io.moorstage.lab.edge;
 
+import io.moorstage.core.flow.FlowId;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 
@@ -125,6 +126,15 @@
     return (packet.get(FLAGS_OFFSET) & RST) != 0;
   }
 
+  /** Returns the flow of a client's packet. */
+  public static FlowId flow(ByteBuffer packet) {
+    return new FlowId(
+        packet.getInt(SOURCE_OFFSET),
+        sourcePort(packet),
+        destination(packet),
+        destinationPort(packet));
+  }
+
   /** Returns the sender's port. */
   public static int sourcePort(ByteBuffer packet) {
     return packet.getShort(SOURCE_PORT_OFFSET) & SHORT_MASK;
--- a/lab/src/main/java/io/moorstage/lab/monitor/ExpectedRoutes.java
+++ b/lab/src/main/java/io/moorstage/lab/monitor/ExpectedRoutes.java
@@ -10,4 +10,9 @@
    * epoch; {@code Long.MAX_VALUE} if neither has happened.
    */
   long removedSinceMs(int routeAddress, String service);
+
+  /** Returns whether a route is not configured, or was not at some time since another. */
+  default boolean wasDroppedSince(int routeAddress, long sinceMs) {
+    return false;
+  }
 }
--- a/lab/src/main/java/io/moorstage/lab/monitor/LoadClientListener.java
+++ b/lab/src/main/java/io/moorstage/lab/monitor/LoadClientListener.java
@@ -14,6 +14,7 @@
 
   @Override
   public void onOpen(ClientFlow flow) {
+    super.onOpen(flow);
     load.recordOpening(flow);
   }
 
--- a/lab/src/main/java/io/moorstage/lab/monitor/MonitoringClientListener.java
+++ b/lab/src/main/java/io/moorstage/lab/monitor/MonitoringClientListener.java
@@ -16,6 +16,21 @@
     this.monitor = monitor;
   }
 
+  @Override
+  public void onOpen(ClientFlow flow) {
+    monitor.recordClientFlow(flow.port());
+  }
+
+  @Override
+  public void onRequest(ClientFlow flow) {
+    monitor.recordRequest(flow.port());
+  }
+
+  @Override
+  public void onEnd(ClientFlow flow) {
+    monitor.recordClientFlowEnd(flow.port());
+  }
+
   @Override
   public void onSend(ByteBuffer packet) {
     monitor.recordSentPacket(Packets.immutableContent(packet));
--- a/lab/src/main/java/io/moorstage/lab/monitor/Rule.java
+++ b/lab/src/main/java/io/moorstage/lab/monitor/Rule.java
@@ -14,6 +14,8 @@
   FOREIGN_PACKET,
   /** A client receives a reset although its flow's target is alive and holds the flow. */
   OPEN_FLOW_RESET,
+  /** Packets of an open flow reach only other targets for too long, while its own is alive. */
+  MISROUTED_FLOW,
   /** A flow opens at a target too long after it began to drain or its zone was evacuated. */
   LATE_OPENING,
   /** A flow opens too long after its route was removed or moved to another service. */
--- a/lab/src/main/java/io/moorstage/lab/monitor/RuleMonitor.java
+++ b/lab/src/main/java/io/moorstage/lab/monitor/RuleMonitor.java
@@ -1,11 +1,13 @@
 package io.moorstage.lab.monitor;
 
+import io.moorstage.core.flow.FlowId;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.LongSupplier;
 
 /**
  * Checks the {@linkplain Rule rules} of a run by the events that clients, targets and the operator
@@ -21,6 +23,8 @@
   /** One fault can break a rule for every flow; the first breaches are enough to diagnose it. */
   private static final int MAX_BREACHES = 100;
 
+  private final LongSupplier clockMs;
+  private final MisrouteDetector misroutes = new MisrouteDetector();
   private final Set<String> sentPackets = new HashSet<>();
   private final Map<Long, String> targetsByRequest = new HashMap<>();
   private final List<String> breaches = new ArrayList<>();
@@ -29,6 +33,16 @@
   private long served;
   private long failed;
 
+  /** Creates a monitor that uses the system's clock. */
+  public RuleMonitor() {
+    this(System::currentTimeMillis);
+  }
+
+  /** Creates a monitor with a clock that returns milliseconds since the epoch. */
+  RuleMonitor(LongSupplier clockMs) {
+    this.clockMs = clockMs;
+  }
+
   /**
    * Records a packet that a client sends. A packet that reaches a target without having been
    * recorded here was changed or made up on the way.
@@ -49,6 +63,45 @@
     lastFaultMs = Math.max(lastFaultMs, untilMs);
   }
 
+  /**
+   * Records a fault of the balancer or agent of a machine, which may keep the flows of its target
+   * from being found.
+   *
+   * @param untilMs the time up to which the fault is present, in milliseconds since the epoch
+   */
+  public synchronized void recordMachineFault(String address, long untilMs) {
+    misroutes.recordMachineFault(address, untilMs);
+  }
+
+  /** Records that a client opens a flow from a port. */
+  synchronized void recordClientFlow(int port) {
+    misroutes.recordClientFlow(port);
+  }
+
+  /** Records that a client sends a request for the first time. */
+  synchronized void recordRequest(int port) {
+    misroutes.recordRequest(port);
+  }
+
+  /** Records that a client's flow has ended, for any reason. */
+  synchronized void recordClientFlowEnd(int port) {
+    misroutes.recordEnd(port, clockMs.getAsLong()).ifPresent(this::recordMisroutedFlow);
+  }
+
+  /** Records that a target has got the packet that acknowledges its acceptance of a flow. */
+  synchronized void recordOpenedFlow(FlowId flow, WatchedTarget target) {
+    misroutes.recordOpened(flow, target, clockMs.getAsLong());
+  }
+
+  /** Records which target receives a packet of a flow. */
+  synchronized void recordPacketOfFlow(FlowId flow, WatchedTarget target) {
+    misroutes.recordPacket(flow, target, clockMs.getAsLong()).ifPresent(this::recordMisroutedFlow);
+  }
+
+  private void recordMisroutedFlow(String detail) {
+    recordBreach(Rule.MISROUTED_FLOW, detail);
+  }
+
   /**
    * Returns whether no fault has been present since {@link #PROPAGATION_LIMIT_MS} before a time.
    */
--- a/lab/src/main/java/io/moorstage/lab/monitor/WatchedTarget.java
+++ b/lab/src/main/java/io/moorstage/lab/monitor/WatchedTarget.java
@@ -85,6 +85,11 @@
     return takesNewFlows && monitor.mustBeEffective(newFlowsSinceMs, nowMs);
   }
 
+  /** Returns whether a route is not configured, or was not at some time since another. */
+  boolean wasRouteDroppedSince(int routeAddress, long sinceMs) {
+    return routes.wasDroppedSince(routeAddress, sinceMs);
+  }
+
   /** Returns whether the target has not been closed. */
   public boolean isAlive() {
     return target.isAlive();
@@ -108,10 +113,12 @@
     @Override
     public void onPacket(ByteBuffer packet) {
       monitor.recordReceivedPacket(Packets.immutableContent(packet), start.id());
+      monitor.recordPacketOfFlow(Packets.flow(packet), WatchedTarget.this);
     }
 
     @Override
     public void onOpened(ByteBuffer packet) {
+      monitor.recordOpenedFlow(Packets.flow(packet), WatchedTarget.this);
       checkOpenedFlow(Packets.destination(packet), System.currentTimeMillis());
     }
 
--- a/lab/src/main/java/io/moorstage/lab/soak/FaultSchedule.java
+++ b/lab/src/main/java/io/moorstage/lab/soak/FaultSchedule.java
@@ -13,8 +13,11 @@
 
 /** Runs the steps of faults, at once or after a delay, and logs each with its time. */
 final class FaultSchedule implements AutoCloseable {
-  /** Two threads, so that a step that waits for a process does not delay another step. */
-  private static final int THREADS = 2;
+  /**
+   * Enough for steps that wait for a process, or that throttle one, not to delay other steps. A
+   * soak has nine processes.
+   */
+  private static final int THREADS = 20;
 
   private final Path log;
   private final RuleMonitor monitor;
--- a/lab/src/main/java/io/moorstage/lab/soak/FaultSoak.java
+++ b/lab/src/main/java/io/moorstage/lab/soak/FaultSoak.java
@@ -2,6 +2,8 @@
 
 import io.moorstage.lab.client.ClientListener;
 import io.moorstage.lab.client.FlowClients;
+import io.moorstage.lab.client.Traffic;
+import io.moorstage.lab.edge.Readiness;
 import io.moorstage.lab.edge.StoreKeys;
 import io.moorstage.lab.monitor.LoadClientListener;
 import io.moorstage.lab.monitor.LoadMonitor;
@@ -11,7 +13,9 @@
 import io.moorstage.lab.monitor.WatchedTarget;
 import io.moorstage.lab.process.LaunchCommand;
 import io.moorstage.lab.process.NotReadyException;
+import io.moorstage.lab.process.Ports;
 import io.moorstage.lab.process.Programs;
+import io.moorstage.lab.process.Throttle;
 import io.moorstage.lab.router.Router;
 import io.moorstage.lab.store.StoreCopy;
 import io.moorstage.lab.store.StoreMode;
@@ -54,6 +58,19 @@
   /** Upper bound of the delay before the recovery from a fault, drawn at random for each fault. */
   private static final int MAX_RECOVERY_DELAY_MS = 1_500;
 
+  /** One in so many restarted agents is starved; restarted balancers always are. */
+  private static final int ONE_IN_STARVED_AGENTS = 3;
+
+  private static final int MIN_STARVED_MS = 5_000;
+  private static final int STARVED_RANGE_MS = 5_000;
+  private static final int MIN_SLICE_MS = 2;
+  private static final int SLICE_RANGE_MS = 4;
+
+  /** The longest wait for a restarted process, which starves only once it is in use. */
+  private static final int MAX_START_MS = 2_000;
+
+  private static final int POLL_MS = 20;
+
   /** The number of cases in {@code inject}. */
   private static final int FAULT_KINDS = 11;
 
@@ -91,6 +108,9 @@
   private final boolean storeRestores;
   private final Random loadRandom;
   @Nullable private final LoadTraffic loadTraffic;
+  private final boolean starves;
+  private final Random starvedRandom;
+  private volatile boolean faultsHaveEnded;
   private StoreCopy copy;
 
   /** Addresses whose process was signalled to end and has not been restarted yet. */
@@ -116,7 +136,12 @@
     this.copy = fleet.store().copy();
     this.router = new Router(SoakFleet.BALANCERS);
     this.loadRandom = new Random(seed + 2);
-    SoakTraffic steady = new SoakTraffic(routes, new Random(seed + 1));
+    this.starves = options.starved();
+    this.starvedRandom = new Random(seed + 4);
+    Traffic steady = new SoakTraffic(routes, new Random(seed + 1));
+    if (starves) {
+      steady = new RestingTraffic(steady, new Random(seed + 5));
+    }
     this.loadTraffic = options.load() ? new LoadTraffic(steady, new Random(seed + 3)) : null;
     this.clients =
         new FlowClients(
@@ -169,7 +194,7 @@
         slowDownSometimes();
         if (++faultsSinceCalm == FAULTS_PER_CALM) {
           liftEvacuations();
-          Thread.sleep(SETTLE_MS + RuleMonitor.PROPAGATION_LIMIT_MS);
+          Thread.sleep(settleMs() + RuleMonitor.PROPAGATION_LIMIT_MS);
           overloadWithoutFaults();
           faultsSinceCalm = 0;
         }
@@ -182,7 +207,8 @@
       WatchedTarget drained = fleet.targetAt(randomElement(fleet.targetAddresses()));
       faults.runNow("drain permanently " + drained.start().id(), () -> fleet.drain(drained));
     }
-    Thread.sleep(SETTLE_MS);
+    faultsHaveEnded = true;
+    Thread.sleep(settleMs());
     fleet.store().setMode(StoreMode.SERVING);
     liftEvacuations();
     Thread.sleep(SETTLE_MS);
@@ -200,6 +226,10 @@
     fleet.loadMonitor().ifPresent(LoadMonitor::checkAll);
   }
 
+  private int settleMs() {
+    return starves ? SETTLE_MS + MIN_STARVED_MS + STARVED_RANGE_MS : SETTLE_MS;
+  }
+
   private void liftEvacuations() throws IOException, InterruptedException {
     for (String zone : SoakFleet.ZONES) {
       if (fleet.isEvacuated(zone)) {
@@ -265,21 +295,48 @@
     if (!restarting.add(address)) {
       return;
     }
-    monitor.recordFault(System.currentTimeMillis());
+    recordMachineFault(address, System.currentTimeMillis());
     faults.runNow(signal + " " + address, () -> Programs.signal(process, signal));
+    boolean isBalancer = SoakFleet.BALANCERS.contains(address);
+    boolean starved = starves && (isBalancer || starvedRandom.nextInt(ONE_IN_STARVED_AGENTS) == 0);
+    int sliceMs = MIN_SLICE_MS + starvedRandom.nextInt(SLICE_RANGE_MS);
+    int starvedMs = MIN_STARVED_MS + starvedRandom.nextInt(STARVED_RANGE_MS);
     faults.runLater(
         delayMs,
         "start " + address,
         () -> {
           process.waitFor();
           fleet.startProgram(address);
+          recordMachineFault(address, System.currentTimeMillis());
           restarting.remove(address);
+          if (starved && !faultsHaveEnded) {
+            starve(address, sliceMs, starvedMs);
+          }
         });
   }
 
+  private void recordMachineFault(String address, long untilMs) {
+    monitor.recordFault(untilMs);
+    monitor.recordMachineFault(address, untilMs);
+  }
+
+  private void starve(String address, int sliceMs, int durationMs)
+      throws IOException, InterruptedException {
+    Process process = fleet.processAt(address);
+    long startByMs = System.currentTimeMillis() + MAX_START_MS;
+    while (System.currentTimeMillis() < startByMs && !Readiness.isReady(address, Ports.READY)) {
+      Thread.sleep(POLL_MS);
+    }
+    recordMachineFault(address, System.currentTimeMillis() + durationMs);
+    String share = sliceMs + " of " + Throttle.PERIOD_MS + " ms for " + durationMs + " ms";
+    faults.runNow(
+        "starve " + address + ", " + share, () -> Throttle.run(process, sliceMs, durationMs));
+    faults.runNow("end starve " + address, () -> {});
+  }
+
   private void pause(String address, int durationMs) throws IOException, InterruptedException {
     Process process = fleet.processAt(address);
-    monitor.recordFault(System.currentTimeMillis() + durationMs);
+    recordMachineFault(address, System.currentTimeMillis() + durationMs);
     faults.runNow("STOP " + address, () -> Programs.signal(process, "STOP"));
     faults.runLater(durationMs, "CONT " + address, () -> Programs.signal(process, "CONT"));
   }
--- a/lab/src/main/java/io/moorstage/lab/soak/SoakCommand.java
+++ b/lab/src/main/java/io/moorstage/lab/soak/SoakCommand.java
@@ -33,6 +33,9 @@
   @Parameter(names = "--load", description = "Also overload targets of unequal speed")
   private boolean load;
 
+  @Parameter(names = "--starved", description = "Also keep restarted processes short of processor")
+  private boolean starved;
+
   @Parameter(names = "--jar", description = "Jar of the programs to run")
   private Path jar = Build.jar();
 
@@ -43,7 +46,10 @@
     System.out.println("soak seed=" + usedSeed + " minutes=" + minutes + " logs=" + folder);
     FaultSoak soak =
         new FaultSoak(
-            usedSeed, new SoakOptions(moves, restores, load), LaunchCommand.ofJar(jar), folder);
+            usedSeed,
+            new SoakOptions(moves, restores, load, starved),
+            LaunchCommand.ofJar(jar),
+            folder);
     Thread shutdownHook = new Thread(() -> closeOnShutdown(soak), "end");
     Runtime.getRuntime().addShutdownHook(shutdownHook);
     try (soak) {
--- a/lab/src/main/java/io/moorstage/lab/soak/SoakOptions.java
+++ b/lab/src/main/java/io/moorstage/lab/soak/SoakOptions.java
@@ -9,13 +9,16 @@
  *     fault and after the last one; restarted targets then keep their ids
  * @param load whether requests take time at targets of unequal speed, the load at times exceeds
  *     what these can serve, and overload control is on
+ * @param starved whether restarted processes are short of processor time for some seconds, and many
+ *     flows rest for seconds between requests
  */
-public record SoakOptions(boolean routeMoves, boolean storeRestores, boolean load) {
+public record SoakOptions(
+    boolean routeMoves, boolean storeRestores, boolean load, boolean starved) {
   /** Only the faults that every soak injects. */
-  public static final SoakOptions PLAIN = new SoakOptions(false, false, false);
+  public static final SoakOptions PLAIN = new SoakOptions(false, false, false, false);
 
-  /** Creates options without load. */
+  /** Creates options without load and starved processes. */
   public SoakOptions(boolean routeMoves, boolean storeRestores) {
-    this(routeMoves, storeRestores, false);
+    this(routeMoves, storeRestores, false, false);
   }
 }
--- a/lab/src/main/java/io/moorstage/lab/soak/SoakRoutes.java
+++ b/lab/src/main/java/io/moorstage/lab/soak/SoakRoutes.java
@@ -108,6 +108,11 @@
     return address == INTERMITTENT ? intermittentRemovedMs : Long.MAX_VALUE;
   }
 
+  @Override
+  public synchronized boolean wasDroppedSince(int address, long sinceMs) {
+    return address == INTERMITTENT && intermittentSinceMs > sinceMs;
+  }
+
   /**
    * Returns when the intermittent route was added, in milliseconds since the epoch; {@code
    * Long.MAX_VALUE} if it is not configured.
--- a/lab/src/test/java/io/moorstage/lab/soak/FaultSoakTest.java
+++ b/lab/src/test/java/io/moorstage/lab/soak/FaultSoakTest.java
@@ -13,8 +13,9 @@
  * Guards against breaches of the rules under random faults. Runs the soak with fixed seeds, or,
  * with the properties {@code soak.seed} and {@code soak.minutes}, with one seed for a longer time.
  * {@code build-tools/soak} sets these properties, {@code soak.moves} for a route that moves between
- * services, {@code soak.restores} for a store that is restored from older copies, and {@code
- * soak.load} for overloaded targets of unequal speed. Logs are kept in {@code target/soak}.
+ * services, {@code soak.restores} for a store that is restored from older copies, {@code soak.load}
+ * for overloaded targets of unequal speed, and {@code soak.starved} for restarted processes that
+ * are short of processor time. Logs are kept in {@code target/soak}.
  */
 class FaultSoakTest {
   /** Two seeds that have never failed, and those that have; docs/SOAK.md gives the causes. */
@@ -45,7 +46,8 @@
           new SoakOptions(
               Boolean.getBoolean("soak.moves"),
               Boolean.getBoolean("soak.restores"),
-              Boolean.getBoolean("soak.load"));
+              Boolean.getBoolean("soak.load"),
+              Boolean.getBoolean("soak.starved"));
       runSoak(Long.parseLong(seed), options, minutes * MS_PER_MINUTE, breaches);
     } else {
       for (long fixedSeed : SEEDS) {
@@ -79,7 +81,7 @@
   private static List<String> runLoadedSeeds() throws Exception {
     List<String> breaches = new ArrayList<>();
     for (long fixedSeed : LOADED_SEEDS) {
-      SoakOptions options = new SoakOptions(false, false, true);
+      SoakOptions options = new SoakOptions(false, false, true, false);
       runSoak(fixedSeed, options, SECONDS_PER_SEED * MS_PER_S, breaches);
     }
     return breaches;
