--- a/lab/src/main/java/io/moorstage/lab/client/ClientFlow.java
+++ b/lab/src/main/java/io/moorstage/lab/client/ClientFlow.java
@@ -163,7 +163,8 @@
     copies++;
   }
 
-  void recordAcceptance(StandInTarget acceptingTarget) {
+  /** Records the target that has accepted the flow. */
+  public void recordAcceptance(StandInTarget acceptingTarget) {
     target = acceptingTarget;
   }
 
--- a/lab/src/main/java/io/moorstage/lab/monitor/MisrouteDetector.java
+++ b/lab/src/main/java/io/moorstage/lab/monitor/MisrouteDetector.java
@@ -39,6 +39,10 @@
       this.openedMs = openedMs;
     }
 
+    boolean hasDroppedRoute() {
+      return target.wasRouteDroppedSince(id.serviceAddress(), openedMs);
+    }
+
     void restart() {
       misrouted = 0;
       otherTargets.clear();
@@ -118,12 +122,18 @@
     return Optional.of(detail);
   }
 
+  /** Returns whether a flow is open whose route has been dropped since it opened. */
+  boolean isOfDroppedRoute(int port) {
+    OpenFlow flow = flows.get(port);
+    return flow != null && flow.hasDroppedRoute();
+  }
+
   private boolean isJudged(OpenFlow flow, long nowMs) {
     String machine = flow.target.start().address();
     long faultUntilMs = machineFaultUntilMs.getOrDefault(machine, 0L);
     return flow.target.isAlive()
         && nowMs - flow.openedMs <= MAX_FLOW_MS
         && flow.misroutedSinceMs - faultUntilMs > RuleMonitor.PROPAGATION_LIMIT_MS
-        && !flow.target.wasRouteDroppedSince(flow.id.serviceAddress(), flow.openedMs);
+        && !flow.hasDroppedRoute();
   }
 }
--- a/lab/src/main/java/io/moorstage/lab/monitor/MonitoringClientListener.java
+++ b/lab/src/main/java/io/moorstage/lab/monitor/MonitoringClientListener.java
@@ -49,7 +49,8 @@
   @Override
   public void onReset(ClientFlow flow) {
     Optional<StandInTarget> target = flow.target();
-    if (target.isPresent() && target.get().holds(flow.port())) {
+    boolean isOpen = target.isPresent() && target.get().holds(flow.port());
+    if (isOpen && !monitor.isOfDroppedRoute(flow.port())) {
       String detail = "port " + flow.port() + " at " + target.get().start().id();
       monitor.recordBreach(Rule.OPEN_FLOW_RESET, detail);
     }
--- a/lab/src/main/java/io/moorstage/lab/monitor/RuleMonitor.java
+++ b/lab/src/main/java/io/moorstage/lab/monitor/RuleMonitor.java
@@ -98,6 +98,11 @@
     misroutes.recordPacket(flow, target, clockMs.getAsLong()).ifPresent(this::recordMisroutedFlow);
   }
 
+  /** Returns whether a client's flow is open, but its route has been dropped since it opened. */
+  synchronized boolean isOfDroppedRoute(int port) {
+    return misroutes.isOfDroppedRoute(port);
+  }
+
   private void recordMisroutedFlow(String detail) {
     recordBreach(Rule.MISROUTED_FLOW, detail);
   }
--- a/lab/src/main/java/io/moorstage/lab/soak/FaultSoak.java
+++ b/lab/src/main/java/io/moorstage/lab/soak/FaultSoak.java
@@ -276,11 +276,23 @@
       case 6 -> faults.runNow("compact", fleet.store()::compact);
       case 7 -> crash(targetAddress, delayMs);
       case 8 -> drain(targetAddress);
-      case 9 -> toggleEvacuation(randomElement(SoakFleet.ZONES));
+      case 9 -> toggleEvacuation(zoneToToggle(randomElement(SoakFleet.ZONES)));
       default -> faults.runNow("configuration", this::toggleIntermittentRoute);
     }
   }
 
+  // Without a zone for new flows, a starved soak would soon have no open flows.
+  private String zoneToToggle(String zone) {
+    if (starves) {
+      for (String evacuated : SoakFleet.ZONES) {
+        if (fleet.isEvacuated(evacuated)) {
+          return evacuated;
+        }
+      }
+    }
+    return zone;
+  }
+
   private String randomElement(List<String> elements) {
     return elements.get(random.nextInt(elements.size()));
   }
--- a/lab/src/test/java/io/moorstage/lab/monitor/MisroutedFlowTest.java
+++ b/lab/src/test/java/io/moorstage/lab/monitor/MisroutedFlowTest.java
@@ -119,6 +119,11 @@
     deliverToOther();
   }
 
+  private void reset() {
+    flow.recordAcceptance(own.target());
+    client.onReset(flow);
+  }
+
   private void assertMisrouted() {
     List<String> breaches = monitor.breaches();
     assertThat(breaches).hasSize(1);
@@ -224,6 +229,20 @@
     assertThat(monitor.breaches()).isEmpty();
   }
 
+  @Test
+  void resetOfAFlowOfADroppedRouteIsAllowed() {
+    routeWasDropped = true;
+    reset();
+    assertThat(monitor.breaches()).isEmpty();
+  }
+
+  @Test
+  void resetOfAFlowOfAPresentRouteIsRecorded() {
+    reset();
+    assertThat(monitor.breaches()).hasSize(1);
+    assertThat(monitor.breaches().get(0)).contains(" OPEN_FLOW_RESET: ");
+  }
+
   @Test
   void oldFlowIsNotJudged() throws IOException {
     nowMs += MisrouteDetector.MAX_FLOW_MS;
