--- a/lab/src/main/java/io/moorstage/lab/monitor/MisrouteDetector.java
+++ b/lab/src/main/java/io/moorstage/lab/monitor/MisrouteDetector.java
@@ -25,6 +25,8 @@
   private final Map<Integer, OpenFlow> flows = new HashMap<>();
   private final Map<String, Long> machineFaultUntilMs = new HashMap<>();
 
+  private long longestMs;
+
   private static final class OpenFlow {
     private final FlowId id;
     private final WatchedTarget target;
@@ -104,10 +106,20 @@
     return flow == null ? Optional.empty() : check(flow, nowMs);
   }
 
+  /**
+   * Returns the longest time for which enough packets of a flow for a breach have reached only
+   * other targets, in milliseconds. Shows how close to a breach a run without one has come.
+   */
+  long longestMs() {
+    return longestMs;
+  }
+
   private Optional<String> check(OpenFlow flow, long nowMs) {
-    boolean isMisrouted =
-        flow.misrouted >= MIN_PACKETS && nowMs - flow.misroutedSinceMs >= WINDOW_MS;
-    if (!isMisrouted || !isJudged(flow, nowMs)) {
+    if (flow.misrouted < MIN_PACKETS || !isJudged(flow, nowMs)) {
+      return Optional.empty();
+    }
+    longestMs = Math.max(longestMs, nowMs - flow.misroutedSinceMs);
+    if (nowMs - flow.misroutedSinceMs < WINDOW_MS) {
       return Optional.empty();
     }
     String detail =
--- a/lab/src/main/java/io/moorstage/lab/monitor/RuleMonitor.java
+++ b/lab/src/main/java/io/moorstage/lab/monitor/RuleMonitor.java
@@ -172,6 +172,7 @@
 
   /** Returns the counts in one line. */
   public synchronized String summary() {
-    return "served=" + served + " failed=" + failed + " troubles=" + faults;
+    String counts = "served=" + served + " failed=" + failed + " troubles=" + faults;
+    return counts + " longest-misroute-ms=" + misroutes.longestMs();
   }
 }
--- a/lab/src/main/java/io/moorstage/lab/soak/FaultSoak.java
+++ b/lab/src/main/java/io/moorstage/lab/soak/FaultSoak.java
@@ -61,10 +61,16 @@
   /** One in so many restarted agents is starved; restarted balancers always are. */
   private static final int ONE_IN_STARVED_AGENTS = 3;
 
+  /** One in so many faults of a starved soak also ends a balancer. */
+  private static final int ONE_IN_BALANCER_ENDS = 3;
+
+  /** One in so many of these balancers is killed, the others are told to stop. */
+  private static final int ONE_IN_KILLS = 3;
+
   private static final int MIN_STARVED_MS = 5_000;
   private static final int STARVED_RANGE_MS = 5_000;
-  private static final int MIN_SLICE_MS = 2;
-  private static final int SLICE_RANGE_MS = 4;
+  private static final int MIN_SLICE_MS = 1;
+  private static final int SLICE_RANGE_MS = 3;
 
   /** The longest wait for a restarted process, which starves only once it is in use. */
   private static final int MAX_START_MS = 2_000;
@@ -182,6 +188,12 @@
     while (System.currentTimeMillis() < end) {
       Thread.sleep(MEAN_FAULT_INTERVAL_MS / 2 + random.nextInt(MEAN_FAULT_INTERVAL_MS));
       inject();
+      if (starves && starvedRandom.nextInt(ONE_IN_BALANCER_ENDS) == 0) {
+        String signal = starvedRandom.nextInt(ONE_IN_KILLS) == 0 ? "KILL" : "TERM";
+        int index = starvedRandom.nextInt(SoakFleet.BALANCERS.size());
+        int delayMs = starvedRandom.nextInt(MAX_RECOVERY_DELAY_MS);
+        endAndRestart(SoakFleet.BALANCERS.get(index), signal, delayMs);
+      }
       if (moveIsDue && routes.hasMoving()) {
         faults.runNow("move", () -> fleet.store().put(StoreKeys.CONFIGURATION, routes.moveRoute()));
       }
--- a/lab/src/main/java/io/moorstage/lab/soak/SoakFleet.java
+++ b/lab/src/main/java/io/moorstage/lab/soak/SoakFleet.java
@@ -37,6 +37,13 @@
   private static final String TARGET_NETWORK = "127.78.2.";
   private static final int TARGETS = 6;
   private static final int TARGETS_OF_TABLES = 4;
+
+  /**
+   * With starved balancers there are so many times as many targets, since a search among few of
+   * them ends after one round of queries.
+   */
+  private static final int FACTOR_OF_STARVED = 2;
+
   private static final int TARGET_SLOTS = 4;
 
   /** The slots of a target whose requests take time; a few, so that a burst fills them. */
@@ -95,8 +102,9 @@
   /** Starts all targets and programs, and waits until the balancers are ready. */
   void start() throws IOException, InterruptedException, NotReadyException {
     store.put(StoreKeys.CONFIGURATION, routes.configuration());
-    for (int i = 0; i < TARGETS; i++) {
-      String service = i < TARGETS_OF_TABLES ? "tables" : "bundles";
+    int factor = options.starved() ? FACTOR_OF_STARVED : 1;
+    for (int i = 0; i < factor * TARGETS; i++) {
+      String service = i < factor * TARGETS_OF_TABLES ? "tables" : "bundles";
       String address = TARGET_NETWORK + (i + 1);
       startTarget(service, address, ZONES.get(i % ZONES.size()));
       startProgram(address);
