--- a/lab/src/main/java/io/moorstage/lab/monitor/MisrouteDetector.java
+++ b/lab/src/main/java/io/moorstage/lab/monitor/MisrouteDetector.java
@@ -34,6 +34,7 @@
     private final Set<String> otherTargets = new TreeSet<>();
     private long misroutedSinceMs;
     private int misrouted;
+    private int openings;
 
     OpenFlow(FlowId id, WatchedTarget target, long openedMs) {
       this.id = id;
@@ -47,6 +48,7 @@
 
     void restart() {
       misrouted = 0;
+      openings = 0;
       otherTargets.clear();
     }
   }
@@ -82,7 +84,7 @@
   }
 
   /** Records a packet that a target receives; returns a description of the breach, if any. */
-  Optional<String> recordPacket(FlowId id, WatchedTarget target, long nowMs) {
+  Optional<String> recordPacket(FlowId id, boolean isOpening, WatchedTarget target, long nowMs) {
     OpenFlow flow = flows.get(id.clientPort());
     if (flow == null) {
       return Optional.empty();
@@ -95,6 +97,7 @@
     if (flow.misrouted++ == 0) {
       flow.misroutedSinceMs = nowMs;
     }
+    flow.openings += isOpening ? 1 : 0;
     flow.otherTargets.add(target.start().id());
     return check(flow, nowMs);
   }
@@ -124,10 +127,11 @@
     }
     String detail =
         String.format(
-            "flow=%s of %s: %d packets at %s in %d ms",
+            "flow=%s of %s: %d packets (%d openings) at %s in %d ms",
             flow.id,
             flow.target.start().id(),
             flow.misrouted,
+            flow.openings,
             flow.otherTargets,
             nowMs - flow.misroutedSinceMs);
     flow.restart();
--- a/lab/src/main/java/io/moorstage/lab/monitor/RuleMonitor.java
+++ b/lab/src/main/java/io/moorstage/lab/monitor/RuleMonitor.java
@@ -94,8 +94,10 @@
   }
 
   /** Records which target receives a packet of a flow. */
-  synchronized void recordPacketOfFlow(FlowId flow, WatchedTarget target) {
-    misroutes.recordPacket(flow, target, clockMs.getAsLong()).ifPresent(this::recordMisroutedFlow);
+  synchronized void recordPacketOfFlow(FlowId flow, boolean isOpening, WatchedTarget target) {
+    misroutes
+        .recordPacket(flow, isOpening, target, clockMs.getAsLong())
+        .ifPresent(this::recordMisroutedFlow);
   }
 
   /** Returns whether a client's flow is open, but its route has been dropped since it opened. */
--- a/lab/src/main/java/io/moorstage/lab/monitor/WatchedTarget.java
+++ b/lab/src/main/java/io/moorstage/lab/monitor/WatchedTarget.java
@@ -113,7 +113,8 @@
     @Override
     public void onPacket(ByteBuffer packet) {
       monitor.recordReceivedPacket(Packets.immutableContent(packet), start.id());
-      monitor.recordPacketOfFlow(Packets.flow(packet), WatchedTarget.this);
+      boolean isOpening = Packets.isOpening(packet);
+      monitor.recordPacketOfFlow(Packets.flow(packet), isOpening, WatchedTarget.this);
     }
 
     @Override
--- a/lab/src/test/java/io/moorstage/lab/monitor/MisroutedFlowTest.java
+++ b/lab/src/test/java/io/moorstage/lab/monitor/MisroutedFlowTest.java
@@ -156,6 +156,16 @@
     assertMisrouted();
   }
 
+  @Test
+  void lateCopiesOfTheOpeningCount() throws IOException {
+    deliver(otherAgent, OTHER_ADDRESS, Packets.open(CLIENT, ROUTE, 1));
+    deliver(otherAgent, OTHER_ADDRESS, Packets.open(CLIENT, ROUTE, 2));
+    nowMs += MisrouteDetector.WINDOW_MS;
+    deliverToOther();
+    assertMisrouted();
+    assertThat(monitor.breaches().get(0)).contains("3 packets (2 openings)");
+  }
+
   @Test
   void flowThatIsFoundAgainInTimeIsAllowed() throws IOException {
     for (int i = 0; i < 3; i++) {
--- a/lab/src/test/java/io/moorstage/lab/soak/FaultSoakTest.java
+++ b/lab/src/test/java/io/moorstage/lab/soak/FaultSoakTest.java
@@ -32,6 +32,9 @@
   /** Seeds of the soaks with overloaded targets of unequal speed. */
   private static final long[] LOADED_SEEDS = {51};
 
+  /** Seeds of the soaks with processes that are short of processor time. */
+  private static final long[] STARVED_SEEDS = {61};
+
   private static final int SECONDS_PER_SEED = 25;
   private static final int MS_PER_S = 1_000;
   private static final int MS_PER_MINUTE = 60_000;
@@ -87,6 +90,18 @@
     return breaches;
   }
 
+  // Guards against balancers that keep sending an open flow to wrong targets while they read late
+  // that these do not hold it.
+  @Test
+  void noRuleIsBrokenByProcessesShortOfProcessorTime() throws Exception {
+    List<String> breaches = new ArrayList<>();
+    for (long fixedSeed : STARVED_SEEDS) {
+      SoakOptions options = new SoakOptions(false, false, false, true);
+      runSoak(fixedSeed, options, SECONDS_PER_SEED * MS_PER_S, breaches);
+    }
+    assertWithMessage("broken").that(breaches).isEmpty();
+  }
+
   private static void runSoak(long seed, SoakOptions options, int durationMs, List<String> breaches)
       throws Exception {
     Path folder = Path.of("target", "soak", "seed-" + seed);
