Search for a flow that several targets may have opened

Packets of open flows reached only a target that had accepted a late copy of the opening: a balancer that had sent that copy took the client's next segment for a proof, sent all segments there, and then to the next target that it had tried, as each was returned.

--- a/core/src/main/java/io/moorstage/core/balancer/BalancerFlow.java
+++ b/core/src/main/java/io/moorstage/core/balancer/BalancerFlow.java
@@ -168,12 +168,15 @@
   }
 
   /**
-   * Records that the client has sent a segment after the opening, so that the target holds the
-   * flow.
+   * Records that the client has sent a segment after the opening.
+   *
+   * @return whether this confirms the target as the holder: no other target may have accepted a
+   *     copy of the opening
    */
-  void confirmByClient() {
+  boolean confirmByClient() {
     markContinued();
     confirmed = unanswered.isEmpty() && !missesEarlierCopies;
+    return confirmed;
   }
 
   /** Records that the client has closed or reset the flow. */
--- a/core/src/main/java/io/moorstage/core/balancer/FlowBalancer.java
+++ b/core/src/main/java/io/moorstage/core/balancer/FlowBalancer.java
@@ -209,12 +209,15 @@
     Search unconfirmed = flow.unconfirmedSearch();
     if (unconfirmed != null) {
       locator.forwardUnconfirmed(unconfirmed, segment, datagram, nowMs);
+    } else if (flow.hasTargetResponded()) {
+      tables.send(flow, target, datagram);
     } else {
-      if (!flow.hasTargetResponded()) {
-        flow.confirmByClient();
-        target.clearSuspicion();
+      target.clearSuspicion();
+      if (flow.confirmByClient()) {
+        tables.send(flow, target, datagram);
+      } else {
+        locator.startSearchAt(target, flow, segment, datagram, nowMs);
       }
-      tables.send(flow, target, datagram);
     }
     if (segment.kind() == Segment.Kind.CLOSE || segment.kind() == Segment.Kind.RESET) {
       flow.close();
--- a/core/src/main/java/io/moorstage/core/balancer/FlowLocator.java
+++ b/core/src/main/java/io/moorstage/core/balancer/FlowLocator.java
@@ -169,6 +169,27 @@
     queries.queryFirstRound(search, nowMs);
   }
 
+  /**
+   * Starts the search for the target of a flow that the client has continued, although several
+   * targets may have accepted a copy of its opening. The segments go to the one that was sent the
+   * last copy, within the limits for an unconfirmed target.
+   */
+  void startSearchAt(
+      TargetSlot target, BalancerFlow flow, Segment segment, ByteBuffer datagram, long nowMs) {
+    Search search = new Search(flow, segment.acknowledged(), nowMs);
+    search.hold(datagram, settings.maxHeldSegments());
+    flow.beginSearch(search);
+    searches.add(search);
+    log.decided(
+        Decision.ASKED, flow.id(), target.address(), "opened-twice", tables.ageOfState(nowMs));
+    queries.queryFirstRound(search, nowMs);
+    queries.queryHolder(search, target, nowMs);
+    flow.assumeHolder(target);
+    // The target's agent reports the flow with its response to the request in most cases.
+    search.waitUntil(nowMs + settings.pauseMs());
+    unconfirmedHolders.sendHeld(search, nowMs);
+  }
+
   /** Queries an agent that has become active about all flows that are being searched for. */
   void queryAvailableAgent(TargetSlot agent, String service, long nowMs) {
     for (Search search : searches) {
@@ -248,6 +269,9 @@
     if (!flow.isSearching() || !tables.mayHold(flow, named.record().service())) {
       // Another service may have taken over the address since, so the agent there is queried.
       queries.queryNamed(search, named, nowMs);
+      if (named != flow.target() && tables.mayHold(flow, named.record().service())) {
+        search.addCandidate(named);
+      }
       return;
     }
     TargetSlot offeredTo = flow.offeredTo();
