--- a/core/src/main/java/io/moorstage/core/agent/AgentActions.java
+++ b/core/src/main/java/io/moorstage/core/agent/AgentActions.java
@@ -17,7 +17,7 @@
   void giveBack(
       int balancerAddress, GiveBackReason reason, long configurationVersion, ByteBuffer datagram);
 
-  /** Reports to a balancer that the target holds a flow that the balancer has offered. */
+  /** Reports to a balancer that the target holds a flow that the balancer searches for. */
   void reportHeld(int balancerAddress, FlowId flow);
 
   /**
--- a/core/src/main/java/io/moorstage/core/agent/AgentFlow.java
+++ b/core/src/main/java/io/moorstage/core/agent/AgentFlow.java
@@ -118,7 +118,7 @@
    * of the target shows; no balancer is known yet. {@link #onTargetSegment} sets its stage: an
    * acceptance does not show that the target holds the flow, any later segment does.
    */
-  static AgentFlow held(FlowId id, long nowMs) {
+  static AgentFlow ofEarlierProcess(FlowId id, long nowMs) {
     return new AgentFlow(id, Stage.OPENING, 0, 0, nowMs);
   }
 
--- a/core/src/main/java/io/moorstage/core/agent/TargetSegments.java
+++ b/core/src/main/java/io/moorstage/core/agent/TargetSegments.java
@@ -38,9 +38,9 @@
       return;
     }
     if (flow == null) {
-      // The agent was restarted. The segment shows that the target holds this flow.
+      // The agent was restarted: an earlier process has delivered the flow to the target.
       target.onUnknownFlow();
-      flow = AgentFlow.held(segment.flow(), nowMs);
+      flow = AgentFlow.ofEarlierProcess(segment.flow(), nowMs);
       flows.add(flow);
     }
     if (flow.stage() == AgentFlow.Stage.WITHDRAWN) {
--- a/core/src/main/java/io/moorstage/core/balancer/Search.java
+++ b/core/src/main/java/io/moorstage/core/balancer/Search.java
@@ -39,8 +39,8 @@
   record Offered(Search search, TargetSlot target) implements Searching {}
 
   /**
-   * The flow's target may hold the flow, but its agent has not reported that: an offered segment
-   * was not given back in time, or another balancer has named the target. The search goes on.
+   * The flow's target may hold the flow, but its agent has not reported that. The search goes on;
+   * {@link UnconfirmedHolders} gives the cases.
    */
   record Unconfirmed(Search search) implements Stage {}
 
--- a/core/src/main/java/io/moorstage/core/balancer/SearchOffers.java
+++ b/core/src/main/java/io/moorstage/core/balancer/SearchOffers.java
@@ -49,7 +49,7 @@
   /**
    * The maximum number of segments of a flow at targets that have neither confirmed nor returned
    * them. A balancer that reads returned segments late would send three to wrong targets, which
-   * breaks a flow. Two are enough for the holder, which acknowledges every second segment.
+   * breaks a flow. Two are usually enough for the holder, which acknowledges every second one.
    */
   static final int MAX_UNRESOLVED_SEGMENTS = 2;
 
--- a/core/src/main/java/io/moorstage/core/balancer/UnconfirmedHolders.java
+++ b/core/src/main/java/io/moorstage/core/balancer/UnconfirmedHolders.java
@@ -9,10 +9,11 @@
  * Guarded by the lock of {@link FlowBalancer}.
  *
  * <p>A target is unconfirmed if it has not returned an offered segment within {@code
- * offerTimeoutMs}, or if another balancer has named it. Neither proves that it holds the flow: the
- * target, its agent or this balancer may be slow, a message may be lost, and the other balancer's
- * information may be outdated. Only the target's agent confirms it. The agent reports the flow as
- * soon as the target has sent a segment of it, and in response to queries.
+ * offerTimeoutMs}, if another balancer has named it, or if it is one of several that may have
+ * accepted the opening. None of this proves that it holds the flow: the target, its agent or this
+ * balancer may be slow, a message may be lost, and the other balancer's information may be
+ * outdated. Only the target's agent confirms it. The agent reports the flow as soon as the target
+ * has sent a segment of it, and in response to queries.
  *
  * <p>Until then the queries of the search go on, and the target gets segments within the limits of
  * {@link SearchOffers}; others are held. The limits do not apply to a target that is the only one
--- a/core/src/test/java/io/moorstage/core/agent/ServiceTimeEstimatorTest.java
+++ b/core/src/test/java/io/moorstage/core/agent/ServiceTimeEstimatorTest.java
@@ -17,7 +17,7 @@
   }
 
   private AgentFlow begin() {
-    AgentFlow flow = AgentFlow.held(Fleet.flow(nextPort++), nowMs);
+    AgentFlow flow = AgentFlow.ofEarlierProcess(Fleet.flow(nextPort++), nowMs);
     flow.beginRequest(nowMs);
     estimator.begin(flow, nowMs);
     return flow;
--- a/core/src/test/java/io/moorstage/core/balancer/BalancerFlowTest.java
+++ b/core/src/test/java/io/moorstage/core/balancer/BalancerFlowTest.java
@@ -18,7 +18,7 @@
   private final Search search = new Search(flow, 7, NOW_MS);
 
   @Test
-  void targetThatKeepsTheOfferedSegmentIsTreatedAsTheHolder() {
+  void targetThatKeepsTheOfferedSegmentIsAssumedToBeTheHolder() {
     flow.beginSearch(search);
     flow.offerTo(target);
     flow.assumeOfferKept();
--- a/core/src/test/java/io/moorstage/core/balancer/UnconfirmedHolderTest.java
+++ b/core/src/test/java/io/moorstage/core/balancer/UnconfirmedHolderTest.java
@@ -22,7 +22,7 @@
 /**
  * Guards against open flows whose segments all go to a target that does not hold them. A balancer
  * without enough processor time reads responses and returned segments seconds late, and must not
- * take that silence for a target's consent.
+ * take a missing response for a proof that a target holds the flow.
  */
 class UnconfirmedHolderTest {
   private static final int TARGETS = 60;
