Add review case 2: an entry of another writer hides that a target drains

An entry that lacks most fields and names the address of a target replaces that target's own entry. When the target later drains by plan, neither balancers nor its agent learn of it, and it gets new flows until it ends.

Cause: TargetReader accepts an entry without zone, version, capacity, cold_remaining_ms and sequence as a target to use, and the entry that was listed last counts for an address.

--- a/review/src/review/Main.java
+++ b/review/src/review/Main.java
@@ -14,7 +14,8 @@
 
   private static final Map<String, Case> CASES =
       Map.of(
-          "moved-route", new MovedRoute());
+          "moved-route", new MovedRoute(),
+          "foreign-entry", new ForeignEntry());
 
   private Main() {}
 
