--- a/review/src/review/Client.java
+++ b/review/src/review/Client.java
@@ -63,7 +63,14 @@
 
     /** Sends a request, and sends it again until it is answered or its deadline has passed. */
     synchronized Outcome request(String id, int deadlineMs) throws InterruptedException {
-      String text = "GET /track HTTP/1.1\r\nHost: track\r\nRequest-Id: " + id + "\r\n\r\n";
+      return request("/list", id, deadlineMs);
+    }
+
+    /** The same for a path; see {@link Target#SLOW_PATH}. */
+    synchronized Outcome request(String path, String id, int deadlineMs)
+        throws InterruptedException {
+      String text =
+          "GET " + path + " HTTP/1.1\r\nHost: track\r\nRequest-Id: " + id + "\r\n\r\n";
       long startMs = record.nowMs();
       last = null;
       record.add("client sends " + id + " on port " + end.port());
--- a/review/src/review/FlowCheck.java
+++ b/review/src/review/FlowCheck.java
@@ -68,7 +68,7 @@
     Client.Outcome outcome;
     try {
       start.await();
-      outcome = flow.request(request, DEADLINE_MS);
+      outcome = flow.request(Target.SLOW_PATH, request, DEADLINE_MS);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
       return false;
--- a/review/src/review/Target.java
+++ b/review/src/review/Target.java
@@ -19,6 +19,12 @@
  * It knows flows by their client's end, and keeps them until it ends.
  */
 final class Target implements AutoCloseable {
+  /** The path of requests that take {@link #WORK_MS}; others are answered at once. */
+  static final String SLOW_PATH = "/track";
+
+  /** About the mean work of a request of the site. */
+  private static final int WORK_MS = 50;
+
   /** Tries after which a target gives up an answer, and the first wait between them. */
   private static final int MAX_TRIES = 8;
 
@@ -153,49 +159,62 @@
     if (packet.data().isEmpty()) {
       return;
     }
-    if (packet.sequence() == flow.received) {
-      run(flow, packet);
+    if (packet.sequence() != flow.received) {
+      // A repeated request: its answer is repeated, unless the target still works on it.
+      if (flow.answer != null && flow.answer.ack() == flow.received) {
+        send(flow.answer);
+      }
+      return;
+    }
+    run(flow, packet);
+    if (packet.data().startsWith("GET " + SLOW_PATH)) {
+      schedule(WORK_MS, () -> answer(flow, packet));
+    } else {
+      answer(flow, packet);
     }
-    sendAnswer(flow, 1, RETRY_MS);
-  }
-
-  private void run(Flow flow, Packet packet) {
-    String request = packet.data().replaceAll("(?s).*Request-Id: (\\S+).*", "$1");
-    record.add("target " + id + " runs " + request);
-    flow.received = packet.sequence() + packet.data().length();
-    String body = request + " by " + id;
-    String text = "HTTP/1.1 200 OK\r\nServer-Signature: " + id + "\r\nContent-Length: "
-        + body.length() + "\r\n\r\n" + body;
-    flow.answer = reply(packet, Packet.ACK, flow.sent, flow.received, text);
-    flow.sent += text.length();
   }
 
-  private void sendAnswer(Flow flow, int tries, int waitMs) throws IOException {
-    Packet answer = flow.answer;
-    send(answer);
-    if (tries == MAX_TRIES) {
-      return;
-    }
+  private void schedule(int delayMs, Runnable task) {
     timer.schedule(
         new TimerTask() {
           @Override
           public void run() {
-            repeat(flow, answer, tries + 1, Math.min(MAX_RETRY_MS, 2 * waitMs));
+            task.run();
           }
         },
-        waitMs);
+        delayMs);
+  }
+
+  private void run(Flow flow, Packet packet) {
+    record.add("target " + id + " runs " + requestOf(packet));
+    flow.received = packet.sequence() + packet.data().length();
+  }
+
+  private static String requestOf(Packet packet) {
+    return packet.data().replaceAll("(?s).*Request-Id: (\\S+).*", "$1");
+  }
+
+  private synchronized void answer(Flow flow, Packet packet) {
+    String body = requestOf(packet) + " by " + id;
+    String text = "HTTP/1.1 200 OK\r\nServer-Signature: " + id + "\r\nContent-Length: "
+        + body.length() + "\r\n\r\n" + body;
+    flow.answer = reply(packet, Packet.ACK, flow.sent, flow.received, text);
+    flow.sent += text.length();
+    sendUntilAcknowledged(flow, flow.answer, 1, RETRY_MS);
   }
 
-  private synchronized void repeat(Flow flow, Packet answer, int tries, int waitMs) {
+  private synchronized void sendUntilAcknowledged(Flow flow, Packet answer, int tries, int waitMs) {
     boolean missing = flow.acknowledged < answer.sequence() + answer.data().length();
-    if (!alive || flow.answer != answer || !missing) {
+    if (!alive || flow.answer != answer || !missing || tries > MAX_TRIES) {
       return;
     }
     try {
-      sendAnswer(flow, tries, waitMs);
+      send(answer);
     } catch (IOException e) {
       throw new UncheckedIOException(e);
     }
+    int nextWaitMs = Math.min(MAX_RETRY_MS, 2 * waitMs);
+    schedule(waitMs, () -> sendUntilAcknowledged(flow, answer, tries + 1, nextWaitMs));
   }
 
   private static Packet reply(Packet to, int flags, int sequence, int ack, String data) {
@@ -224,7 +243,7 @@
 
   /** Ends the target at once, without notice; its flows are lost. */
   @Override
-  public void close() throws IOException {
+  public synchronized void close() throws IOException {
     alive = false;
     timer.cancel();
     channel.close();
