Add review case 2: an entry with a long service keeps a balancer at its configuration

An entry of another writer whose service is a text of 70,000 characters is taken for a target. From then on no node can send its state to a peer. A balancer that leaves reading the store to another one of its zone gets no change any more: it still serves a route more than 3,000 ms after the operator has dropped it.

Cause: FleetStateCodec uses DataOutputStream.writeUTF, which fails above 65,535 bytes; TargetReader does not leave the entry out; a standby does not read the store while the reader of its zone is confirmed.

The case of the other writer's entry without fields becomes case 3. The former case 3 (FLOW, a restarted target and agent) leaves the three cases, as it needs three disruptions; REPORT.md lists it.

--- a/review/src/review/Fleet.java
+++ b/review/src/review/Fleet.java
@@ -68,14 +68,32 @@
 
   /** Writes a configuration whose only route leads to a service; returns when it was accepted. */
   long configure(int version, String service) {
+    return configureRoutes(version, routeJson("track", 443, service));
+  }
+
+  /**
+   * Writes a configuration with or without the route of {@link #route}, and another route that no
+   * client uses; returns when it was accepted.
+   */
+  long configure(int version, boolean withRoute) {
+    String routes = routeJson("other", 444, "orders");
+    return configureRoutes(version, withRoute ? routes + "," + routeJson("track", 443, "orders") : routes);
+  }
+
+  private long configureRoutes(int version, String routes) {
     return store.put(
         "op/config",
-        "{\"version\":" + version + ",\"routes\":[{\"name\":\"track\",\"host\":\"" + network
-            + ".200.1\",\"path_prefix\":\"/443/\",\"service\":\"" + service
-            + "\",\"type\":\"safe\",\"timeout_ms\":3000,\"aim_ms\":300,\"priority\":1,"
-            + "\"max_attempts\":1}],\"services\":[{\"name\":\"orders\","
-            + "\"health_check_path\":\"/health\"},{\"name\":\"orders-next\","
-            + "\"health_check_path\":\"/health\"}],\"limits\":{\"idle_timeout_ms\":60000}}");
+        "{\"version\":" + version + ",\"routes\":[" + routes
+            + "],\"services\":[{\"name\":\"orders\",\"health_check_path\":\"/health\"},"
+            + "{\"name\":\"orders-next\",\"health_check_path\":\"/health\"}],"
+            + "\"limits\":{\"idle_timeout_ms\":60000}}");
+  }
+
+  private String routeJson(String name, int port, String service) {
+    return "{\"name\":\"" + name + "\",\"host\":\"" + network
+        + ".200.1\",\"path_prefix\":\"/" + port + "/\",\"service\":\"" + service
+        + "\",\"type\":\"safe\",\"timeout_ms\":3000,\"aim_ms\":300,\"priority\":1,"
+        + "\"max_attempts\":1}";
   }
 
   /** Starts a target and writes its entry. */
@@ -186,15 +204,6 @@
     return true;
   }
 
-  /** Stops a process with SIGTERM and waits for its end. */
-  void stop(String address) throws InterruptedException {
-    Process process = process(address);
-    record.add("SIGTERM to " + address);
-    process.destroy();
-    process.waitFor();
-    record.add("process " + address + " has ended");
-  }
-
   /** Kills processes with SIGKILL, all at the same moment. */
   void kill(List<String> addresses) throws InterruptedException {
     record.add("SIGKILL to " + addresses);
@@ -206,12 +215,6 @@
     }
   }
 
-  /** Sends SIGHUP to a process. */
-  void hangUp(String address) throws IOException, InterruptedException {
-    record.add("SIGHUP to " + address);
-    new ProcessBuilder("kill", "-HUP", Long.toString(process(address).pid())).start().waitFor();
-  }
-
   private Process process(String address) {
     synchronized (processes) {
       return processes.get(address);
--- a/review/src/review/FlowCheck.java
+++ b/review/src/review/FlowCheck.java
@@ -13,14 +13,7 @@
 
   /** Opens flows and sends a first request on each; returns whether all were answered. */
   static boolean openAll(List<Client.Flow> flows, String prefix) throws InterruptedException {
-    return openAll(flows, prefix, 0);
-  }
-
-  /** The same, with a pause after each flow. */
-  static boolean openAll(List<Client.Flow> flows, String prefix, int pauseMs)
-      throws InterruptedException {
     for (int i = 0; i < flows.size(); i++) {
-      Thread.sleep(pauseMs);
       boolean answered =
           flows.get(i).open() == Client.Outcome.ANSWERED
               && flows.get(i).request(prefix + i, DEADLINE_MS) == Client.Outcome.ANSWERED;
--- a/review/src/review/Main.java
+++ b/review/src/review/Main.java
@@ -15,8 +15,8 @@
   private static final Map<String, Case> CASES =
       Map.of(
           "moved-route", new MovedRoute(),
-          "foreign-entry", new ForeignEntry(),
-          "restarted-target", new RestartedTarget());
+          "oversized-entry", new OversizedEntry(),
+          "foreign-entry", new ForeignEntry());
 
   private Main() {}
 
--- a/review/src/review/Store.java
+++ b/review/src/review/Store.java
@@ -20,6 +20,7 @@
  * revision for all items and a history that is never dropped.
  */
 final class Store implements AutoCloseable {
+  private static final int MAX_RECORDED = 1_000;
   private static final int OK = 200;
   private static final int GONE = 410;
 
@@ -77,10 +78,16 @@
     history.add(item);
     notifyAll();
     record.add("store: " + (item.value() == null ? "gone " : "put ") + item.key() + " at revision "
-        + revision + (item.value() == null ? "" : " " + item.value()));
+        + revision + (item.value() == null ? "" : " " + shortened(item.value())));
     return record.nowMs();
   }
 
+  private static String shortened(String value) {
+    return value.length() <= MAX_RECORDED
+        ? value
+        : value.substring(0, MAX_RECORDED) + "... (" + value.length() + " characters)";
+  }
+
   private synchronized String range() {
     return "{\"items\":[" + join(List.copyOf(items.values())) + "],\"has_more\":false,\"at\":"
         + revision + "}";
