Put the other writer's entry without fields back as review case 3

Rule DRAIN: an entry without most fields replaces that of a target, which then gets new flows while it drains.

--- a/review/src/review/Main.java
+++ b/review/src/review/Main.java
@@ -16,7 +16,7 @@
       Map.of(
           "moved-route", new MovedRoute(),
           "oversized-entry", new OversizedEntry(),
-          "busy-targets", new BusyTargets());
+          "foreign-entry", new ForeignEntry());
 
   private Main() {}
 
