Do not take an agent that does not know a flow for one that denies it

Cause: a balancer reset a flow when no target was left to offer a segment to. A target of a service that the route is not known to have had is never offered one, so its agent's answer UNKNOWN or UNLIKELY left nothing behind and counted like a denial. After the loss of all nodes no balancer knows the former services of a route, and no agent knows a flow.

Change: such a target stays listed in its search as one that may hold the flow (Search.addNotOfferable). While there is one, the flow is not reset (SearchVerdict), at most two segments are sent to targets of the route's services (SearchOffers, UnconfirmedHolders), and the search ends with reason not-ruled-out. A target that another node names, or that has accepted the opening, is kept in the same way.

It is ruled out where the balancer knows that the route never had its service. A configuration now says so (hasAllFormerServices): it is the first one of the source, or follows such a one without a gap, or has been followed for the retention period of former services, which is longer than a flow lives. Peers pass this on with the state, so flows that are lost are still reset at once in a fleet that was not lost as a whole.

Test replaced: segmentIsNeverOfferedToAServiceThatItsRouteIsNotKnownTo- HaveHad required the reset of a flow that agents of another service did not deny. Its assertions now hold for a route that has never had that service; the new tests cover a route that may have had it.

--- a/core/src/main/java/io/moorstage/core/balancer/BalancerTables.java
+++ b/core/src/main/java/io/moorstage/core/balancer/BalancerTables.java
@@ -237,6 +237,15 @@
     return routeHasService || service.equals(flow.service());
   }
 
+  /**
+   * Returns whether a flow whose target is unknown may be held by a target of a service to which
+   * {@link #mayHold} does not apply: the route may have had the service before this balancer, and
+   * all others that it has a state from, received their first configuration.
+   */
+  boolean mayBeOfUnknownService() {
+    return !state.configuration().hasAllFormerServices();
+  }
+
   /**
    * Returns the most likely service of a flow that is not in the table, or null if the flow has no
    * route.
--- a/core/src/main/java/io/moorstage/core/balancer/FlowLocator.java
+++ b/core/src/main/java/io/moorstage/core/balancer/FlowLocator.java
@@ -269,7 +269,9 @@
     if (!flow.isSearching() || !tables.mayHold(flow, named.record().service())) {
       // Another service may have taken over the address since, so the agent there is queried.
       queries.queryNamed(search, named, nowMs);
-      if (named != flow.target() && tables.mayHold(flow, named.record().service())) {
+      if (!tables.mayHold(flow, named.record().service())) {
+        search.addNotOfferable(named);
+      } else if (named != flow.target()) {
         search.addCandidate(named);
       }
       return;
@@ -414,8 +416,9 @@
       }
       case QUERY_AGAIN -> search.waitUntil(nowMs + settings.pauseMs());
       case GIVE_UP -> {
-        int unresponsive = search.firstUnresponsiveAddress();
-        log.decided(Decision.NOT_FOUND, flow.id(), unresponsive, "nobody-knows", ageMs);
+        String reason = search.hasNotOfferable() ? "not-ruled-out" : "nobody-knows";
+        int possibleHolder = search.possibleHolderAddress();
+        log.decided(Decision.NOT_FOUND, flow.id(), possibleHolder, reason, ageMs);
         // The flow stays in the table with its known non-holders, so that they are not offered the
         // client's retransmission.
         searches.remove(search);
--- a/core/src/main/java/io/moorstage/core/balancer/Search.java
+++ b/core/src/main/java/io/moorstage/core/balancer/Search.java
@@ -72,6 +72,12 @@
    */
   private final List<TargetSlot> candidates = new ArrayList<>(0);
 
+  /**
+   * Targets that may hold the flow, but must not be offered a segment since the flow's route is not
+   * known to have had their service.
+   */
+  private final List<TargetSlot> notOfferable = new ArrayList<>(0);
+
   private boolean balancersQueried;
   private boolean otherServicesQueried;
   private int nextRoundSize;
@@ -257,12 +263,16 @@
     return !unresponsive.isEmpty();
   }
 
-  /** Returns whether the agent of another target is still to be queried or has not responded. */
-  boolean awaitsOtherAgentThan(int address) {
+  /**
+   * Returns whether a target that must not be offered a segment, or whose agent is still to be
+   * queried or has not responded, may hold the flow instead of the target at an address.
+   */
+  boolean mayBeHeldByOtherThan(int address) {
     return !otherServicesQueried
         || hasOther(toQuery, address)
         || hasOther(pending, address)
-        || hasOther(unresponsive, address);
+        || hasOther(unresponsive, address)
+        || hasOther(notOfferable, address);
   }
 
   /** Returns whether a target other than one may still be offered a segment. */
@@ -279,9 +289,15 @@
     return false;
   }
 
-  /** Returns the address of the first agent that has not responded in time; 0 if there is none. */
-  int firstUnresponsiveAddress() {
-    return unresponsive.isEmpty() ? 0 : unresponsive.get(0).address();
+  /**
+   * Returns the address of a target that may hold the flow at the end of the search, the first one
+   * whose agent has not responded in time if there is one; 0 if there is none.
+   */
+  int possibleHolderAddress() {
+    if (!unresponsive.isEmpty()) {
+      return unresponsive.get(0).address();
+    }
+    return notOfferable.isEmpty() ? 0 : notOfferable.get(0).address();
   }
 
   /**
@@ -329,9 +345,21 @@
     addCandidate(slot);
   }
 
+  /** Adds a target that may hold the flow, but must not be offered a segment. */
+  void addNotOfferable(TargetSlot slot) {
+    removeAt(notOfferable, slot.address());
+    notOfferable.add(slot);
+  }
+
+  /** Returns whether a target may hold the flow that must not be offered a segment. */
+  boolean hasNotOfferable() {
+    return !notOfferable.isEmpty();
+  }
+
   /** Removes a target that does not hold the flow from the candidates and the queries. */
   void exclude(int address) {
     removeAt(candidates, address);
+    removeAt(notOfferable, address);
     cancelQuery(address);
   }
 
--- a/core/src/main/java/io/moorstage/core/balancer/SearchOffers.java
+++ b/core/src/main/java/io/moorstage/core/balancer/SearchOffers.java
@@ -22,9 +22,13 @@
  * unknown flow at once, and is assumed to be the holder if it keeps the segment for {@code
  * offerTimeoutMs} ({@link UnconfirmedHolders}). After a batch of offers the search pauses for
  * {@code pauseMs} and then queries again. While an agent that may know the flow has not responded,
- * at most {@value #MAX_SPECULATIVE_SEGMENTS} segments of the flow are sent. At most {@value
+ * or a target that must not be offered a segment may hold the flow, at most {@value
+ * #MAX_SPECULATIVE_SEGMENTS} segments of the flow are sent. At most {@value
  * #MAX_UNRESOLVED_SEGMENTS} are at targets that have neither confirmed nor returned them.
  *
+ * <p>A target of a service that the flow's route is not known to have had is offered no segment.
+ * Its agent has to deny the flow, unless the balancer knows all services that the route has had.
+ *
  * <p>An agent that has run for less than the time a flow is remembered does not know all flows of
  * its target; the target does. Each wrong offer reaches a target that does not hold the flow, so
  * offers are few, and limited in rate after a fault in which all nodes have lost their state.
@@ -40,8 +44,8 @@
   private static final int BATCHES = 4;
 
   /**
-   * The maximum number of segments of a flow that are sent to unconfirmed targets while an agent
-   * that may know the flow has not responded. The flow may be at that agent's target, and three
+   * The maximum number of segments of a flow that are sent to unconfirmed targets while a target
+   * may hold the flow whose agent has not responded or that must not be offered a segment: three
    * segments sent to wrong targets break a flow.
    */
   static final int MAX_SPECULATIVE_SEGMENTS = 2;
@@ -63,15 +67,20 @@
     this.tables = tables;
   }
 
-  /** Adds the target of an agent that has responded to the candidates if it may hold the flow. */
+  /** Adds the target of an agent that has not denied the flow to those that may hold it. */
   void addResponse(Search search, TargetSlot slot, FlowQueryResult result) {
-    boolean possible = mayHold(search, slot, result);
-    if (possible && tables.mayHold(search.flow(), slot.record().service())) {
+    if (result == FlowQueryResult.NOT_HELD) {
+      search.exclude(slot.address());
+    } else if (!tables.mayHold(search.flow(), slot.record().service())) {
+      if (tables.mayBeOfUnknownService()) {
+        search.addNotOfferable(slot);
+      }
+    } else if (isCandidate(search, slot, result)) {
       search.addCandidate(slot);
     }
   }
 
-  private boolean mayHold(Search search, TargetSlot slot, FlowQueryResult result) {
+  private boolean isCandidate(Search search, TargetSlot slot, FlowQueryResult result) {
     if (result == FlowQueryResult.UNLIKELY) {
       int rank = search.likelihoodRank(slot.address());
       TargetPool pool = tables.poolOf(slot.record().service());
@@ -87,7 +96,7 @@
    * @return false if no target may be offered a segment now
    */
   boolean offerNext(Search search, long nowMs) {
-    boolean speculative = search.hasUnresponsive();
+    boolean speculative = search.hasUnresponsive() || search.hasNotOfferable();
     if (search.candidateCount() == 0 || !maySend(search.flow(), speculative)) {
       return false;
     }
@@ -106,7 +115,7 @@
   /**
    * Returns whether a segment may be sent to a target that may not hold the flow.
    *
-   * @param speculative whether another agent that may know the flow has not responded
+   * @param speculative whether a target may hold the flow that is not offered a segment
    */
   static boolean maySend(BalancerFlow flow, boolean speculative) {
     return flow.unresolvedSegments() < MAX_UNRESOLVED_SEGMENTS
--- a/core/src/main/java/io/moorstage/core/balancer/SearchVerdict.java
+++ b/core/src/main/java/io/moorstage/core/balancer/SearchVerdict.java
@@ -11,9 +11,11 @@
  *
  * <p>No target holds the flow if, for each one, the agent has ruled it out or the target itself has
  * returned a segment, and if the balancer knows all agents ({@link BalancerTables#knowsAllAgents}).
- * A reset then lets the client retry at once. Otherwise the agents that have not responded are
- * queried again until the search is {@code durationMs} old. Then the search ends without a reset,
- * which could break an open flow, and the client's next retransmission starts a new search.
+ * An agent that has not run for long enough to know the flow rules nothing out, whatever service
+ * its target has. A reset then lets the client retry at once. Otherwise the agents that have not
+ * responded are queried again until the search is {@code durationMs} old. Then the search ends
+ * without a reset, which could break an open flow, and the client's next retransmission starts a
+ * new search.
  *
  * <p>The bounds are {@link SearchSettings#durationMs} and, for the pause before agents are queried
  * again, {@link SearchSettings#pauseMs}.
@@ -33,7 +35,8 @@
    */
   static SearchVerdict of(
       Search search, SearchSettings settings, boolean knowsAllAgents, long nowMs) {
-    boolean heldByNone = !search.hasUnresponsive() && search.candidateCount() == 0;
+    boolean heldByNone =
+        !search.hasUnresponsive() && search.candidateCount() == 0 && !search.hasNotOfferable();
     if (heldByNone && knowsAllAgents) {
       return HELD_BY_NONE;
     }
--- a/core/src/main/java/io/moorstage/core/balancer/UnconfirmedHolders.java
+++ b/core/src/main/java/io/moorstage/core/balancer/UnconfirmedHolders.java
@@ -50,7 +50,7 @@
   }
 
   private static boolean isSpeculative(Search search) {
-    return search.awaitsOtherAgentThan(search.flow().target().address());
+    return search.mayBeHeldByOtherThan(search.flow().target().address());
   }
 
   /** Sends a segment to the unconfirmed target of a flow. */
--- a/core/src/main/java/io/moorstage/core/state/FleetState.java
+++ b/core/src/main/java/io/moorstage/core/state/FleetState.java
@@ -246,7 +246,7 @@
     Evacuations reported = Evacuations.of(changes.evacuations());
     return new FleetState(
         changes.revision(),
-        next == null ? configuration : configuration.merge(next),
+        next == null ? configuration : configuration.followedBy(next),
         changed,
         evacuations.apply(isNewer ? reported.since(revision).all() : reported.all()));
   }
--- a/core/src/main/java/io/moorstage/core/state/ForwardingConfiguration.java
+++ b/core/src/main/java/io/moorstage/core/state/ForwardingConfiguration.java
@@ -19,9 +19,10 @@
   private final List<ForwardingRoute> routes;
   private final Map<Long, ForwardingRoute> routesByKey;
   private final Map<String, ColdStart> coldStartsByService;
+  private final boolean hasAllFormerServices;
 
   /**
-   * Creates a configuration.
+   * Creates a configuration whose routes may have had other services.
    *
    * @param version the version, which increases with each accepted configuration; 0 for none
    * @param idleTimeoutMs how long a flow may be idle before it expires, in milliseconds
@@ -33,10 +34,25 @@
       int idleTimeoutMs,
       List<ForwardingRoute> routes,
       Map<String, ColdStart> coldStartsByService) {
+    this(version, idleTimeoutMs, routes, coldStartsByService, false);
+  }
+
+  /**
+   * Creates a configuration; see the other constructor.
+   *
+   * @param hasAllFormerServices see {@link #hasAllFormerServices()}
+   */
+  public ForwardingConfiguration(
+      long version,
+      int idleTimeoutMs,
+      List<ForwardingRoute> routes,
+      Map<String, ColdStart> coldStartsByService,
+      boolean hasAllFormerServices) {
     this.version = version;
     this.idleTimeoutMs = idleTimeoutMs;
     this.routes = List.copyOf(routes);
     this.coldStartsByService = Map.copyOf(coldStartsByService);
+    this.hasAllFormerServices = hasAllFormerServices;
     this.routesByKey = new HashMap<>();
     for (ForwardingRoute route : routes) {
       routesByKey.put(route.key(), route);
@@ -54,11 +70,26 @@
    * <p>The result does not depend on which of the two arrives first. A node that has just started
    * may read the newer one from the source before it gets a peer's older copy, and flows may have
    * been opened at services that only the older copy has.
+   *
+   * <p>Versions between the two may have been missed, so the result has all former services only if
+   * the newer one has, or either of two copies of one version.
    */
-  ForwardingConfiguration merge(ForwardingConfiguration other) {
-    return other.version > version
-        ? other.withFormerServices(this)
-        : this.withFormerServices(other);
+  public ForwardingConfiguration merge(ForwardingConfiguration other) {
+    ForwardingConfiguration merged =
+        other.version > version ? other.withFormerServices(this) : this.withFormerServices(other);
+    boolean isOneVersion = other.version == version;
+    return isOneVersion && (hasAllFormerServices || other.hasAllFormerServices)
+        ? merged.withAllFormerServices()
+        : merged;
+  }
+
+  /**
+   * Returns this configuration merged with a version that the source has reported after it, when no
+   * version in between was missed. The result has all former services if this one has.
+   */
+  ForwardingConfiguration followedBy(ForwardingConfiguration next) {
+    ForwardingConfiguration merged = merge(next);
+    return hasAllFormerServices ? merged.withAllFormerServices() : merged;
   }
 
   private ForwardingConfiguration withFormerServices(ForwardingConfiguration other) {
@@ -98,7 +129,24 @@
   }
 
   private ForwardingConfiguration with(List<ForwardingRoute> otherRoutes) {
-    return new ForwardingConfiguration(version, idleTimeoutMs, otherRoutes, coldStartsByService);
+    return new ForwardingConfiguration(
+        version, idleTimeoutMs, otherRoutes, coldStartsByService, hasAllFormerServices);
+  }
+
+  /**
+   * Returns whether an open flow of a route can only be at a target of a service that the route has
+   * here, be it at weight 0. This is not known of a configuration that was read from the source
+   * when its routes may have changed before.
+   */
+  public boolean hasAllFormerServices() {
+    return hasAllFormerServices;
+  }
+
+  /** Returns this configuration as one that {@link #hasAllFormerServices() has all of them}. */
+  public ForwardingConfiguration withAllFormerServices() {
+    return hasAllFormerServices
+        ? this
+        : new ForwardingConfiguration(version, idleTimeoutMs, routes, coldStartsByService, true);
   }
 
   /** Returns the version, or 0 if no configuration was read. */
--- a/core/src/test/java/io/moorstage/core/balancer/FlowLocatorRouteTest.java
+++ b/core/src/test/java/io/moorstage/core/balancer/FlowLocatorRouteTest.java
@@ -67,6 +67,7 @@
 
   @BeforeEach
   void start() {
+    targets.clear();
     targets.addAll(formerTargets());
     for (int i = 0; i < TARGETS; i++) {
       targets.add(Fleet.listed("t" + i, SERVICE, ADDRESS + i, 1));
@@ -96,6 +97,13 @@
     applyRoutes(version, Fleet.routeTo(service));
   }
 
+  /** Applies the first configuration that the source has had, so all former services are known. */
+  private void applyFirstRouteTo(long version, String service) {
+    FleetState read = Fleet.state(version + 5, version, List.of(Fleet.routeTo(service)), targets);
+    state = state.replaceBy(read.with(read.configuration().withAllFormerServices()));
+    balancer.onState(state, nowMs);
+  }
+
   private void applyRouteMove() {
     applyRouteTo(1, FORMER);
     applyRouteTo(2, SERVICE);
@@ -297,9 +305,9 @@
   }
 
   @Test
-  void segmentIsNeverOfferedToAServiceThatItsRouteIsNotKnownToHaveHad() {
+  void segmentIsNeverOfferedToAServiceThatItsRouteHasNeverHad() {
     reportAgents();
-    applyRouteTo(2, SERVICE);
+    applyFirstRouteTo(2, SERVICE);
     sendClientData();
     runSearch(FLOW, 0);
     assertThat(new HashSet<>(actions.forwardedTo)).hasSize(TARGETS);
@@ -307,6 +315,69 @@
     assertThat(actions.reset).containsExactly(FLOW);
   }
 
+  // Guards against the reset of an open flow of a route that had moved to another service before
+  // all nodes lost their state: the holder's agent, which does not know the flow, was taken for one
+  // that denies it.
+  @Test
+  void flowIsNotResetWhileAnAgentOfAServiceThatItsRouteMayHaveHadDoesNotDenyIt() {
+    for (FlowQueryResult result : List.of(FlowQueryResult.UNKNOWN, FlowQueryResult.UNLIKELY)) {
+      start();
+      reportAgents();
+      applyRouteTo(2, SERVICE);
+      sendClientData();
+      for (int i = 0; i < ALL_TARGETS; i++) {
+        respond(FLOW, agent -> agent == HOLDER ? result : FlowQueryResult.NOT_HELD);
+        nowMs += Fleet.POLICY.search().pauseMs();
+        balancer.onTick(nowMs);
+      }
+      assertThat(actions.reset).isEmpty();
+      assertThat(actions.forwardedTo).isEmpty();
+    }
+  }
+
+  // Guards against three segments of an open flow at targets of its route's new service while the
+  // holder of the former one gets none.
+  @Test
+  void atMostTwoSegmentsAreOfferedWhileATargetOfAnotherServiceMayHoldTheFlow() {
+    reportAgents();
+    applyRouteTo(2, SERVICE);
+    sendClientData();
+    runSearch(FLOW, HOLDER);
+    assertThat(new HashSet<>(actions.forwardedFor)).containsExactly(SERVICE);
+    assertThat(actions.forwardedTo).hasSize(SearchOffers.MAX_SPECULATIVE_SEGMENTS);
+    assertThat(actions.reset).isEmpty();
+  }
+
+  // The agent may report the flow once its target has sent a segment of it, or after the search.
+  @Test
+  void flowOfAServiceThatItsRouteMayHaveHadIsLocatedOnceItsAgentReportsIt() {
+    reportAgents();
+    applyRouteTo(2, SERVICE);
+    sendClientData();
+    runSearch(FLOW, HOLDER);
+    sendClientData();
+    balancer.onQueryResult(HOLDER, FLOW, FlowQueryResult.HELD, HOLDER, nowMs);
+    assertThat(actions.lastForwardedTo()).isEqualTo(HOLDER);
+    assertThat(actions.forwardedFor).contains(FORMER);
+  }
+
+  // Guards against a reset although the agent of another service knows that its target has accepted
+  // the flow's opening.
+  @Test
+  void flowIsNotResetWhileATargetOfAnotherServiceHasAcceptedItsOpening() {
+    reportAgents();
+    applyFirstRouteTo(2, SERVICE);
+    sendClientData();
+    for (int i = 0; i < ALL_TARGETS; i++) {
+      respond(
+          FLOW,
+          agent -> agent == HOLDER ? FlowQueryResult.KNOWN_ELSEWHERE : FlowQueryResult.NOT_HELD);
+      nowMs += Fleet.POLICY.search().pauseMs();
+      balancer.onTick(nowMs);
+    }
+    assertThat(actions.reset).isEmpty();
+  }
+
   // The other balancer may not have received the state in which another service has taken the
   // address.
   @Test
--- a/core/src/test/java/io/moorstage/core/balancer/SearchVerdictTest.java
+++ b/core/src/test/java/io/moorstage/core/balancer/SearchVerdictTest.java
@@ -72,6 +72,16 @@
     assertThat(verdictOf(search, endOfSearchMs)).isEqualTo(SearchVerdict.GIVE_UP);
   }
 
+  @Test
+  void flowIsNotResetWhileATargetMayHoldItThatMustNotBeOfferedASegment() {
+    Search search = searchStartedAt(AGENTS_KNOWN_AT_MS);
+    search.addNotOfferable(target);
+
+    assertThat(verdictOf(search, AGENTS_KNOWN_AT_MS)).isEqualTo(SearchVerdict.QUERY_AGAIN);
+    search.exclude(target.address());
+    assertThat(verdictOf(search, AGENTS_KNOWN_AT_MS)).isEqualTo(SearchVerdict.HELD_BY_NONE);
+  }
+
   @Test
   void flowIsNotResetWhileACandidateForAnOfferRemains() {
     Search search = searchStartedAt(AGENTS_KNOWN_AT_MS);
--- a/forwarding/src/main/java/io/moorstage/forwarding/state/FleetStateCodec.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/state/FleetStateCodec.java
@@ -25,10 +25,10 @@
    * The first byte of a complete state. It changes with the format, so that nodes with different
    * formats reject each other's states instead of misreading them.
    */
-  private static final int COMPLETE = 8;
+  private static final int COMPLETE = 10;
 
   /** The first byte of changes since a revision; see {@link #COMPLETE}. */
-  private static final int CHANGES = 9;
+  private static final int CHANGES = 11;
 
   /**
    * The maximum number of entries of one kind, as a protection against forged counts; the largest
@@ -97,6 +97,7 @@
       out.writeInt(coldStart.getValue().durationMs());
       out.writeInt(coldStart.getValue().openingsPerS());
     }
+    out.writeBoolean(configuration.hasAllFormerServices());
   }
 
   private static void writeTarget(TargetRecord target, DataOutputStream out) throws IOException {
@@ -177,7 +178,8 @@
           new ForwardingRoute(
               address, port, timeoutMs, repeatable, objectiveMs, priority, services));
     }
-    return new ForwardingConfiguration(version, idleTimeoutMs, routes, readColdStarts(in));
+    return new ForwardingConfiguration(
+        version, idleTimeoutMs, routes, readColdStarts(in), in.readBoolean());
   }
 
   private static Map<String, ColdStart> readColdStarts(DataInputStream in) throws IOException {
--- a/forwarding/src/main/java/io/moorstage/forwarding/state/FormerServices.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/state/FormerServices.java
@@ -18,20 +18,47 @@
  * a peer's or an older one of a restored source, as its retention would then start anew with each
  * such copy. This ends with the next version, since the service may have had weight in a version
  * that this node has missed.
+ *
+ * <p>A configuration that may lack former services has all of them after the same period: flows
+ * that were opened before have ended by then.
  */
 final class FormerServices {
+  /** The time at which no configuration is due that has all former services from then on. */
+  static final long NEVER = Long.MAX_VALUE;
+
   private final int retentionMs;
   private final Map<FormerService, Long> sinceMs = new HashMap<>();
   private final Set<FormerService> expired = new HashSet<>();
   private ForwardingConfiguration tracked = ForwardingConfiguration.NONE;
+  private long completeAtMs = NEVER;
 
   FormerServices(int retentionMs) {
     this.retentionMs = retentionMs;
   }
 
-  /** Returns a state without the services at weight 0 whose retention period has passed. */
-  FleetState removeExpired(FleetState newer, long nowMs) {
+  /**
+   * Returns when {@link #update} will return a configuration that has all former services; {@link
+   * #NEVER} if the last one has them, or there was none.
+   */
+  long completeAtMs() {
+    return completeAtMs;
+  }
+
+  /**
+   * Returns a state without the services at weight 0 whose retention period has passed, and whose
+   * configuration has all former services if the period for that has passed.
+   */
+  FleetState update(FleetState newer, long nowMs) {
     track(newer.configuration(), nowMs);
+    if (nowMs < completeAtMs) {
+      return removeExpired(newer, nowMs);
+    }
+    ForwardingConfiguration complete = newer.configuration().withAllFormerServices();
+    track(complete, nowMs);
+    return removeExpired(newer.with(complete), nowMs);
+  }
+
+  private FleetState removeExpired(FleetState newer, long nowMs) {
     sinceMs.forEach(
         (service, since) -> {
           if (nowMs - since > retentionMs) {
@@ -50,9 +77,15 @@
     if (configuration == tracked) {
       return;
     }
-    if (configuration.version() != tracked.version()) {
+    boolean isNewVersion = configuration.version() != tracked.version();
+    if (isNewVersion) {
       expired.clear();
     }
+    if (configuration.hasAllFormerServices() || configuration.version() == 0) {
+      completeAtMs = NEVER;
+    } else if (isNewVersion || completeAtMs == NEVER) {
+      completeAtMs = nowMs + retentionMs;
+    }
     tracked = configuration;
     Map<FormerService, Long> known = new HashMap<>(sinceMs);
     sinceMs.clear();
--- a/forwarding/src/main/java/io/moorstage/forwarding/state/StateKeeper.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/state/StateKeeper.java
@@ -40,6 +40,9 @@
   /** When unconfirmed entries expire. */
   private volatile long unconfirmedUntilMs = NEVER;
 
+  /** When the configuration will have all former services of its routes. */
+  private volatile long formerServicesCompleteAtMs = FormerServices.NEVER;
+
   /** A state with its encoding, cached for requests of peers. */
   private record Encoded(FleetState state, byte[] bytes) {}
 
@@ -134,7 +137,8 @@
 
   private synchronized void update(UnaryOperator<FleetState> transition, long nowMs) {
     FleetState before = state;
-    state = formerServices.removeExpired(evictGone(transition.apply(before), nowMs), nowMs);
+    state = formerServices.update(evictGone(transition.apply(before), nowMs), nowMs);
+    formerServicesCompleteAtMs = formerServices.completeAtMs();
     scheduleUnconfirmedExpiry(before, nowMs);
     listener.onState(before, state, nowMs);
   }
@@ -149,13 +153,17 @@
     }
   }
 
-  /** Treats unconfirmed entries as gone once they have expired; called with each tick. */
+  /** Handles what depends on time alone; called with each tick. */
   public void onTick(long nowMs) {
     if (nowMs >= unconfirmedUntilMs) {
       expireUnconfirmed(nowMs);
     }
+    if (nowMs >= formerServicesCompleteAtMs) {
+      update(UnaryOperator.identity(), nowMs);
+    }
   }
 
+  // Unconfirmed entries are gone once they have expired.
   private synchronized void expireUnconfirmed(long nowMs) {
     // Checked again under the lock: a second restore may just have extended the time.
     if (nowMs >= unconfirmedUntilMs) {
--- a/forwarding/src/test/java/io/moorstage/forwarding/state/StateKeeperTest.java
+++ b/forwarding/src/test/java/io/moorstage/forwarding/state/StateKeeperTest.java
@@ -186,6 +186,81 @@
     assertThat(servicesIn(keeper.state())).contains(new WeightedService("a", 0));
   }
 
+  // ---- whether all former services are known ----
+
+  private static FleetState firstWithRoute(long version, String service) {
+    FleetState first = stateWithRoute(version, service);
+    return first.with(first.configuration().withAllFormerServices());
+  }
+
+  private static boolean hasAllFormerServices(StateKeeper keeper) {
+    return keeper.state().configuration().hasAllFormerServices();
+  }
+
+  private static StateChanges changedTo(FleetState state) {
+    return new StateChanges(
+        state.revision(), List.of(), Map.of(), state.configuration(), List.of());
+  }
+
+  @Test
+  void allFormerServicesAreKnownOfVersionsThatFollowTheFirstOneWithoutAGap() {
+    StateKeeper keeper = keeperAt(firstWithRoute(1, "a"));
+    keeper.apply(changedTo(stateWithRoute(4, "b")), 0);
+    keeper.apply(changedTo(stateWithRoute(9, "c")), 0);
+    assertThat(hasAllFormerServices(keeper)).isTrue();
+    assertThat(servicesIn(keeper.state()))
+        .containsExactly(
+            new WeightedService("c", 1), new WeightedService("b", 0), new WeightedService("a", 0));
+  }
+
+  // Guards against the reset of an open flow of a service that the route had in a version between
+  // two complete states of the source.
+  @Test
+  void formerServicesMayBeMissingAfterACompleteStateOfALaterVersion() {
+    StateKeeper keeper = keeperAt(firstWithRoute(1, "a"), stateWithRoute(9, "c"));
+    assertThat(hasAllFormerServices(keeper)).isFalse();
+  }
+
+  @Test
+  void completeStateOfTheSameVersionKeepsWhatIsKnownOfFormerServices() {
+    StateKeeper keeper = keeperAt(firstWithRoute(1, "a"), stateWithRoute(1, "a"));
+    assertThat(hasAllFormerServices(keeper)).isTrue();
+  }
+
+  @Test
+  void allFormerServicesAreKnownOnceTheRetentionPeriodHasPassedSinceTheFirstVersionRead() {
+    StateKeeper keeper = keeperAt();
+    keeper.replaceBy(stateWithRoute(4, "a"), 1_000);
+    keeper.onTick(1_000 + GONE_TARGET_RETENTION_MS - 1);
+    assertThat(hasAllFormerServices(keeper)).isFalse();
+    keeper.onTick(1_000 + GONE_TARGET_RETENTION_MS);
+    assertThat(hasAllFormerServices(keeper)).isTrue();
+
+    keeper.replaceBy(stateWithRoute(6, "b"), 200_000);
+    assertThat(hasAllFormerServices(keeper)).isFalse();
+    keeper.replaceBy(stateWithRoute(6, "b"), 200_000 + GONE_TARGET_RETENTION_MS);
+    assertThat(hasAllFormerServices(keeper)).isTrue();
+  }
+
+  @Test
+  void nodeThatStartsReceivesFromAPeerThatAllFormerServicesAreKnown() throws StateSourceException {
+    StateKeeper peer = keeperAt(firstWithRoute(1, "a"));
+    peer.apply(changedTo(stateWithRoute(4, "b")), 0);
+    StateKeeper node = keeperAt(stateWithRoute(4, "b"));
+    assertThat(hasAllFormerServices(node)).isFalse();
+
+    node.merge(FleetStateCodec.decode(peer.encoded()).state().configuration(), 0);
+    assertThat(hasAllFormerServices(node)).isTrue();
+  }
+
+  @Test
+  void olderCopyOfAPeerDoesNotShowThatAllFormerServicesAreKnown() throws StateSourceException {
+    StateKeeper peer = keeperAt(firstWithRoute(1, "a"));
+    StateKeeper node = keeperAt(stateWithRoute(4, "c"));
+    node.merge(FleetStateCodec.decode(peer.encoded()).state().configuration(), 0);
+    assertThat(hasAllFormerServices(node)).isFalse();
+  }
+
   @Test
   void peerThatStartsReceivesTheFormerServicesOfRoutes() throws StateSourceException {
     StateKeeper keeper = new StateKeeper(GONE_TARGET_RETENTION_MS, (before, after, nowMs) -> {});
