Do not take a segment rejected for its service for one that the target returned

What callers would see: an open flow is reset by a balancer that has not yet received the state in which another service has taken over the address of the flow's target, after the agent there was restarted.

Cause: an agent that gets a segment of an unknown flow for another service gives it back undelivered, with the reason for a segment that its target has returned. The balancer took that for the target's denial.

Change: the agent gives it back with the existing reason OTHER_SERVICE if its target may hold the flow; the balancer keeps that target as one that may hold the flow, and offers it no segment.

Evidence: flowIsNotResetWhileAnAgentHasRejectedItsSegmentForTheService- ThatItWasSentFor fails before the change (reset) and passes now.

Test replaced: FlowAgentTest.segmentOfAnUnknownFlowOfAnotherServiceNever- ReachesTheTarget expected the reason NOT_HELD, which was the fault; that nothing is delivered is checked as before.

--- a/core/src/main/java/io/moorstage/core/agent/ForwardedSegments.java
+++ b/core/src/main/java/io/moorstage/core/agent/ForwardedSegments.java
@@ -44,7 +44,7 @@
     openings.discardWaiting(segment.flow());
     AgentFlow flow = findOrOffer(balancerAddress, terms, segment, nowMs);
     if (flow == null) {
-      flows.giveBack(balancerAddress, GiveBackReason.NOT_HELD, segment, datagram);
+      flows.giveBack(balancerAddress, reasonToGiveBack(segment, nowMs), segment, datagram);
       return;
     }
     flow.onForwarded(balancerAddress, nowMs);
@@ -68,7 +68,7 @@
     if (known != null) {
       return known.stage() == AgentFlow.Stage.WITHDRAWN ? null : known;
     }
-    if (!terms.service().equals(service) || flows.isAuthoritative(nowMs) || target.hasEnded()) {
+    if (!terms.service().equals(service) || !mayHoldUnknownFlow(nowMs)) {
       return null;
     }
     AgentFlow offered = AgentFlow.offered(segment.flow(), balancerAddress, nowMs);
@@ -76,6 +76,19 @@
     return offered;
   }
 
+  private boolean mayHoldUnknownFlow(long nowMs) {
+    return !flows.isAuthoritative(nowMs) && !target.hasEnded();
+  }
+
+  // The target may hold the unknown flow of a segment that was sent for another service: the
+  // balancer may not have received the state in which the service at this address has changed.
+  private GiveBackReason reasonToGiveBack(Segment segment, long nowMs) {
+    boolean isUnknown = flows.get(segment.flow()) == null;
+    return isUnknown && mayHoldUnknownFlow(nowMs)
+        ? GiveBackReason.OTHER_SERVICE
+        : GiveBackReason.NOT_HELD;
+  }
+
   private void deliver(AgentFlow flow, Segment segment, ByteBuffer datagram, long nowMs) {
     boolean hasData = segment.dataBytes() > 0;
     if (hasData && flow.recordClientData(segment) && !flow.isClosed()) {
--- a/core/src/main/java/io/moorstage/core/balancer/BalancerFlow.java
+++ b/core/src/main/java/io/moorstage/core/balancer/BalancerFlow.java
@@ -221,6 +221,14 @@
     if (!nonHolders.contains(address)) {
       nonHolders.add(address);
     }
+    addWrongService(address);
+  }
+
+  /**
+   * Records that an agent has given back a segment that it has not delivered, since its target
+   * belongs to another service than the one that the segment was sent for.
+   */
+  void addWrongService(int address) {
     unanswered.removeIf(slot -> slot.address() == address);
     resolveSegments(address);
   }
--- a/core/src/main/java/io/moorstage/core/balancer/FlowBalancer.java
+++ b/core/src/main/java/io/moorstage/core/balancer/FlowBalancer.java
@@ -241,7 +241,7 @@
     if (segment.kind() == Segment.Kind.OPEN) {
       opener.onGivenBack(agentAddress, reason, agentVersion, segment, datagram, nowMs);
     } else {
-      locator.onNotHeld(agentAddress, segment, datagram, nowMs);
+      locator.onGivenBack(agentAddress, reason, segment, datagram, nowMs);
     }
   }
 
--- a/core/src/main/java/io/moorstage/core/balancer/FlowLocator.java
+++ b/core/src/main/java/io/moorstage/core/balancer/FlowLocator.java
@@ -5,6 +5,7 @@
 import io.moorstage.core.log.Decision;
 import io.moorstage.core.log.DecisionLog;
 import io.moorstage.core.message.FlowQueryResult;
+import io.moorstage.core.message.GiveBackReason;
 import io.moorstage.core.placement.TargetSlot;
 import io.moorstage.core.settings.ForwardingPolicy;
 import io.moorstage.core.settings.SearchSettings;
@@ -47,18 +48,19 @@
   }
 
   /**
-   * Handles a segment of an open flow that an agent gave back because its target does not hold the
-   * flow.
+   * Handles a segment of an open flow that an agent gave back: its target does not hold the flow,
+   * or belongs to another service than the one that the segment was sent for.
    */
-  void onNotHeld(int agentAddress, Segment segment, ByteBuffer datagram, long nowMs) {
+  void onGivenBack(
+      int agentAddress, GiveBackReason reason, Segment segment, ByteBuffer datagram, long nowMs) {
     BalancerFlow flow = tables.flow(segment.flow());
     if (flow == null) {
       locate(segment, datagram, nowMs);
       return;
     }
-    flow.addNonHolder(agentAddress);
     Search unconfirmed = flow.unconfirmedSearch();
     Search search = flow.search();
+    recordGivenBack(flow, unconfirmed == null ? search : unconfirmed, agentAddress, reason);
     if (unconfirmed != null) {
       onGivenBackWhileUnconfirmed(unconfirmed, agentAddress, datagram, nowMs);
     } else if (search != null) {
@@ -68,9 +70,25 @@
     }
   }
 
+  private void recordGivenBack(
+      BalancerFlow flow, @Nullable Search search, int agentAddress, GiveBackReason reason) {
+    if (search != null) {
+      search.exclude(agentAddress);
+    }
+    if (reason != GiveBackReason.OTHER_SERVICE) {
+      flow.addNonHolder(agentAddress);
+      return;
+    }
+    flow.addWrongService(agentAddress);
+    TargetSlot target = tables.targetOfAgent(flow, agentAddress);
+    if (search != null && target != null) {
+      // The target has not received the segment, and may hold the flow.
+      search.addNotOfferable(target);
+    }
+  }
+
   private void onGivenBackDuringSearch(
       Search search, int agentAddress, ByteBuffer datagram, long nowMs) {
-    search.exclude(agentAddress);
     TargetSlot offeredTo = search.flow().offeredTo();
     if (offeredTo != null && offeredTo.address() == agentAddress) {
       search.flow().markOfferGivenBack();
@@ -103,7 +121,6 @@
   // named a wrong target.
   private void onGivenBackWhileUnconfirmed(
       Search search, int agentAddress, ByteBuffer datagram, long nowMs) {
-    search.exclude(agentAddress);
     if (search.flow().target().address() == agentAddress) {
       search.holdFirst(datagram, settings.maxHeldSegments());
       resume(search, "offer-returned-late", nowMs);
