Let a standby read the source itself when it does not receive a reader's changes

Cause: a balancer leaves reading the source to another one of its zone as long as the source confirms the other one's state, whether or not it receives that state. Any other failure on the way from the reader to the standby had the same effect.

Change: SourceReaders compares the revision that a reader advertises with that of the own state. A balancer that has not reached an advertised revision within 0.8 to 1.2 s reads the source itself, and does not rely on that reader for 30 s. The limit falls with the rank, so that the balancers of a zone do not all begin at once behind a slow reader. The events reads-source and leaves-source-to-peer tell the revision and the number of such readers, the gauge readers_not_relied_on the latter.

Evidence: StandbyBalancerTest (three balancers, a state that no node can encode, three changes) fails on: two of three balancers are behind after 3 s. It passes now. SourceReadersTest covers a reader that is only late, several standbys, and the return to the reader.

--- a/forwarding/src/main/java/io/moorstage/forwarding/daemon/BalancerDaemon.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/daemon/BalancerDaemon.java
@@ -99,7 +99,7 @@
     messageHandler = createMessageHandler(peerAddresses);
     readiness = new BalancerReadiness(policy, balancer, balancers, drain, log);
     endpoints = new DaemonEndpoints(settings, readiness, this::encodedState, metrics, log);
-    registerGauges(source);
+    registerGauges(source, readers);
   }
 
   private FlowBalancer createBalancer(AddressCache peerAddresses) {
@@ -136,7 +136,7 @@
         collaborators, responseSender, balancer, segments, metrics, log);
   }
 
-  private void registerGauges(StateSource source) {
+  private void registerGauges(StateSource source, SourceReaders readers) {
     metrics.gauge(ForwardingGauge.FLOWS, balancer::flowCount);
     metrics.gauge(ForwardingGauge.BALANCERS, () -> balancers.liveCount(MonotonicClock.nowMs()));
     metrics.gauge(ForwardingGauge.STATE_REVISION, () -> Revision.count(keeper.state().revision()));
@@ -144,6 +144,7 @@
     metrics.gauge(
         ForwardingGauge.CONFIGURATION_VERSION, () -> keeper.state().configuration().version());
     metrics.gauge(ForwardingGauge.STATE_AGE_MS, confirmation::metricAgeMs);
+    metrics.gauge(ForwardingGauge.READERS_NOT_RELIED_ON, readers::distrustedCount);
     metrics.gauge(ForwardingGauge.READY_TARGETS, () -> readyTargets(keeper.state()));
     metrics.gauge(
         ForwardingGauge.ADMISSION_LEVEL,
--- a/forwarding/src/main/java/io/moorstage/forwarding/daemon/StateConfirmation.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/daemon/StateConfirmation.java
@@ -60,8 +60,9 @@
    */
   void onBeacon(int peer, PeerMessage.BalancerBeacon beacon, long nowMs) {
     int ageMs = beacon.confirmationAgeMs();
-    readers.recordBeacon(peer, beacon.zone(), ageMs, nowMs);
-    if (beacon.isConfirmed() && confirms(beacon.revision(), keeper.state().revision())) {
+    long ownRevision = keeper.state().revision();
+    readers.recordBeacon(peer, beacon.zone(), ageMs, beacon.revision(), ownRevision, nowMs);
+    if (beacon.isConfirmed() && confirms(beacon.revision(), ownRevision)) {
       onConfirmed(nowMs - ageMs);
     }
   }
--- a/forwarding/src/main/java/io/moorstage/forwarding/metrics/ForwardingGauge.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/metrics/ForwardingGauge.java
@@ -15,6 +15,9 @@
   CONFIGURATION_VERSION("Balancer: version of the configuration in use."),
   STATE_AGE_MS(
       "Balancer: milliseconds since the source last confirmed the state; -1 before the first time."),
+  READERS_NOT_RELIED_ON(
+      "Balancer: balancers of its zone that read the source and whose changes it did not receive in"
+          + " time in the last 30 s."),
   READY_TARGETS("Balancer: targets that are listed as ready for new flows."),
   ADMISSION_LEVEL(
       "Balancer: lowest admission level of all services: new flows of a higher rank are reset; 65535"
--- a/forwarding/src/main/java/io/moorstage/forwarding/source/SourceFollower.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/source/SourceFollower.java
@@ -163,11 +163,18 @@
   // Without a complete state, this node reads the source even if a peer reads it too.
   private boolean updateMustRead() {
     boolean mayLeaveToPeer = hasCompleteState && conditions.policy().uses(Mechanism.SOURCE_READERS);
-    boolean mustRead = !mayLeaveToPeer || conditions.readers().mustRead(MonotonicClock.nowMs());
+    SourceReaders readers = conditions.readers();
+    long revision = keeper.state().revision();
+    boolean mustRead = !mayLeaveToPeer || readers.mustRead(revision, MonotonicClock.nowMs());
     if (mustRead != isReader) {
       isReader = mustRead;
       isConfirmed = false;
-      log.event(mustRead ? "reads-source" : "leaves-source-to-peer");
+      log.event(
+          mustRead ? "reads-source" : "leaves-source-to-peer",
+          "revision",
+          Revision.text(revision),
+          "readers-not-relied-on",
+          readers.distrustedCount());
     }
     return mustRead;
   }
