--- a/forwarding/src/main/java/io/moorstage/forwarding/peer/PeerMessageCodec.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/peer/PeerMessageCodec.java
@@ -30,6 +30,9 @@
    */
   public static final int MAX_FLOWS = 80;
 
+  /** The largest size of a text, such as the name of a service or a zone, in bytes of UTF-8. */
+  public static final int MAX_TEXT_BYTES = 255;
+
   /** The largest number of addresses in a beacon. */
   public static final int MAX_ADDRESSES = 64;
 
@@ -142,7 +145,7 @@
 
   private static void putText(String text, ByteBuffer out) {
     byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
-    int length = Math.min(bytes.length, BYTE_MASK);
+    int length = Math.min(bytes.length, MAX_TEXT_BYTES);
     out.put((byte) length).put(bytes, 0, length);
   }
 
