Rule out targets that started after the earliest known configuration

Cause: since an agent that does not know a flow counts as one whose target may hold it, flows that were lost together with all nodes and targets were no longer reset: the route may have had the service of any other target.

Change: a configuration knows the revision of the earliest version from which on all versions are known, in place of whether all are known. A target that was listed for the first time since its start after that revision can have got flows only from nodes that know that version, so it holds no flow of a service that the route is not known to have had. This is examined again while a search lasts.

The stand-in targets of the lab number their writes, as the platform's do.

--- a/core/src/main/java/io/moorstage/core/balancer/BalancerTables.java
+++ b/core/src/main/java/io/moorstage/core/balancer/BalancerTables.java
@@ -238,12 +238,19 @@
   }
 
   /**
-   * Returns whether a flow whose target is unknown may be held by a target of a service to which
-   * {@link #mayHold} does not apply: the route may have had the service before this balancer, and
-   * all others that it has a state from, received their first configuration.
+   * Returns whether the target at an address may hold flows of a route to whose known services it
+   * does not belong: the route may have had its service in a version of the configuration that is
+   * not known, and the target may have been listed by then. Nodes learn of targets and
+   * configurations in the order of the source's revisions.
    */
-  boolean mayBeOfUnknownService() {
-    return !state.configuration().hasAllFormerServices();
+  boolean mayHoldByUnknownVersion(int address) {
+    ForwardingConfiguration configuration = state.configuration();
+    if (configuration.hasAllFormerServices()) {
+      return false;
+    }
+    TargetSlot listed = pools.at(address);
+    return listed == null
+        || !listed.record().isListedFirstAfter(configuration.servicesKnownSince());
   }
 
   /**
--- a/core/src/main/java/io/moorstage/core/balancer/Search.java
+++ b/core/src/main/java/io/moorstage/core/balancer/Search.java
@@ -73,11 +73,17 @@
   private final List<TargetSlot> candidates = new ArrayList<>(0);
 
   /**
-   * Targets that may hold the flow, but must not be offered a segment since the flow's route is not
-   * known to have had their service.
+   * Targets that may hold the flow according to another node, but must not be offered a segment
+   * since the flow's route is not known to have had their service.
    */
   private final List<TargetSlot> notOfferable = new ArrayList<>(0);
 
+  /**
+   * Targets of services that the flow's route may have had in a version of the configuration that
+   * is not known. They must not be offered a segment, and their agents have not denied the flow.
+   */
+  private final List<TargetSlot> ofUnknownVersions = new ArrayList<>(0);
+
   private boolean balancersQueried;
   private boolean otherServicesQueried;
   private int nextRoundSize;
@@ -272,7 +278,8 @@
         || hasOther(toQuery, address)
         || hasOther(pending, address)
         || hasOther(unresponsive, address)
-        || hasOther(notOfferable, address);
+        || hasOther(notOfferable, address)
+        || hasOther(ofUnknownVersions, address);
   }
 
   /** Returns whether a target other than one may still be offered a segment. */
@@ -297,6 +304,9 @@
     if (!unresponsive.isEmpty()) {
       return unresponsive.get(0).address();
     }
+    if (!ofUnknownVersions.isEmpty()) {
+      return ofUnknownVersions.get(0).address();
+    }
     return notOfferable.isEmpty() ? 0 : notOfferable.get(0).address();
   }
 
@@ -351,15 +361,27 @@
     notOfferable.add(slot);
   }
 
+  /** Adds a target that may hold the flow if its route had the target's service before. */
+  void addOfUnknownVersion(TargetSlot slot) {
+    removeAt(ofUnknownVersions, slot.address());
+    ofUnknownVersions.add(slot);
+  }
+
+  /** Removes targets whose service the flow's route is known not to have had since they started. */
+  void removeOfUnknownVersions(IntPredicate byAddress) {
+    ofUnknownVersions.removeIf(slot -> byAddress.test(slot.address()));
+  }
+
   /** Returns whether a target may hold the flow that must not be offered a segment. */
   boolean hasNotOfferable() {
-    return !notOfferable.isEmpty();
+    return !notOfferable.isEmpty() || !ofUnknownVersions.isEmpty();
   }
 
   /** Removes a target that does not hold the flow from the candidates and the queries. */
   void exclude(int address) {
     removeAt(candidates, address);
     removeAt(notOfferable, address);
+    removeAt(ofUnknownVersions, address);
     cancelQuery(address);
   }
 
--- a/core/src/main/java/io/moorstage/core/balancer/SearchOffers.java
+++ b/core/src/main/java/io/moorstage/core/balancer/SearchOffers.java
@@ -27,7 +27,8 @@
  * #MAX_UNRESOLVED_SEGMENTS} are at targets that have neither confirmed nor returned them.
  *
  * <p>A target of a service that the flow's route is not known to have had is offered no segment.
- * Its agent has to deny the flow, unless the balancer knows all services that the route has had.
+ * Its agent has to deny the flow, unless the balancer knows all services that the route has had
+ * since the target started.
  *
  * <p>An agent that has run for less than the time a flow is remembered does not know all flows of
  * its target; the target does. Each wrong offer reaches a target that does not hold the flow, so
@@ -72,9 +73,7 @@
     if (result == FlowQueryResult.NOT_HELD) {
       search.exclude(slot.address());
     } else if (!tables.mayHold(search.flow(), slot.record().service())) {
-      if (tables.mayBeOfUnknownService()) {
-        search.addNotOfferable(slot);
-      }
+      search.addOfUnknownVersion(slot);
     } else if (isCandidate(search, slot, result)) {
       search.addCandidate(slot);
     }
@@ -96,6 +95,8 @@
    * @return false if no target may be offered a segment now
    */
   boolean offerNext(Search search, long nowMs) {
+    // Which services the route has had, and when a target started, may have become known meanwhile.
+    search.removeOfUnknownVersions(address -> !tables.mayHoldByUnknownVersion(address));
     boolean speculative = search.hasUnresponsive() || search.hasNotOfferable();
     if (search.candidateCount() == 0 || !maySend(search.flow(), speculative)) {
       return false;
--- a/core/src/main/java/io/moorstage/core/state/ForwardingConfiguration.java
+++ b/core/src/main/java/io/moorstage/core/state/ForwardingConfiguration.java
@@ -10,6 +10,9 @@
 
 /** An accepted configuration: routes, and the cold start limits of services. Immutable. */
 public final class ForwardingConfiguration {
+  /** The value of {@link #servicesKnownSince} if not even this version's revision is known. */
+  private static final long NOT_KNOWN = Long.MAX_VALUE;
+
   /** The empty configuration, of version 0, before any configuration is read. */
   public static final ForwardingConfiguration NONE =
       new ForwardingConfiguration(0, 0, List.of(), Map.of());
@@ -19,7 +22,7 @@
   private final List<ForwardingRoute> routes;
   private final Map<Long, ForwardingRoute> routesByKey;
   private final Map<String, ColdStart> coldStartsByService;
-  private final boolean hasAllFormerServices;
+  private final long servicesKnownSince;
 
   /**
    * Creates a configuration whose routes may have had other services.
@@ -34,25 +37,25 @@
       int idleTimeoutMs,
       List<ForwardingRoute> routes,
       Map<String, ColdStart> coldStartsByService) {
-    this(version, idleTimeoutMs, routes, coldStartsByService, false);
+    this(version, idleTimeoutMs, routes, coldStartsByService, NOT_KNOWN);
   }
 
   /**
    * Creates a configuration; see the other constructor.
    *
-   * @param hasAllFormerServices see {@link #hasAllFormerServices()}
+   * @param servicesKnownSince see {@link #servicesKnownSince()}
    */
   public ForwardingConfiguration(
       long version,
       int idleTimeoutMs,
       List<ForwardingRoute> routes,
       Map<String, ColdStart> coldStartsByService,
-      boolean hasAllFormerServices) {
+      long servicesKnownSince) {
     this.version = version;
     this.idleTimeoutMs = idleTimeoutMs;
     this.routes = List.copyOf(routes);
     this.coldStartsByService = Map.copyOf(coldStartsByService);
-    this.hasAllFormerServices = hasAllFormerServices;
+    this.servicesKnownSince = servicesKnownSince;
     this.routesByKey = new HashMap<>();
     for (ForwardingRoute route : routes) {
       routesByKey.put(route.key(), route);
@@ -71,25 +74,26 @@
    * may read the newer one from the source before it gets a peer's older copy, and flows may have
    * been opened at services that only the older copy has.
    *
-   * <p>Versions between the two may have been missed, so the result has all former services only if
-   * the newer one has, or either of two copies of one version.
+   * <p>Versions between the two may have been missed, so only of two copies of one version the one
+   * with the longer known history counts.
    */
   public ForwardingConfiguration merge(ForwardingConfiguration other) {
     ForwardingConfiguration merged =
         other.version > version ? other.withFormerServices(this) : this.withFormerServices(other);
-    boolean isOneVersion = other.version == version;
-    return isOneVersion && (hasAllFormerServices || other.hasAllFormerServices)
-        ? merged.withAllFormerServices()
+    return other.version == version
+        ? merged.knownSince(Math.min(servicesKnownSince, other.servicesKnownSince))
         : merged;
   }
 
   /**
    * Returns this configuration merged with a version that the source has reported after it, when no
-   * version in between was missed. The result has all former services if this one has.
+   * version in between was missed. So the known history of this one counts, too.
    */
   ForwardingConfiguration followedBy(ForwardingConfiguration next) {
     ForwardingConfiguration merged = merge(next);
-    return hasAllFormerServices ? merged.withAllFormerServices() : merged;
+    return version == 0
+        ? merged
+        : merged.knownSince(Math.min(servicesKnownSince, merged.servicesKnownSince));
   }
 
   private ForwardingConfiguration withFormerServices(ForwardingConfiguration other) {
@@ -130,23 +134,33 @@
 
   private ForwardingConfiguration with(List<ForwardingRoute> otherRoutes) {
     return new ForwardingConfiguration(
-        version, idleTimeoutMs, otherRoutes, coldStartsByService, hasAllFormerServices);
+        version, idleTimeoutMs, otherRoutes, coldStartsByService, servicesKnownSince);
   }
 
   /**
-   * Returns whether an open flow of a route can only be at a target of a service that the route has
-   * here, be it at weight 0. This is not known of a configuration that was read from the source
-   * when its routes may have changed before.
+   * Returns the source's {@link Revision} of the earliest version from which on all versions are
+   * known, so that the routes have each service that one of them has, be it at weight 0. It is 0 if
+   * that holds for each service at which a flow may be open.
    */
+  public long servicesKnownSince() {
+    return servicesKnownSince;
+  }
+
+  /** Returns whether a flow can only be open at a target of a service that its route has here. */
   public boolean hasAllFormerServices() {
-    return hasAllFormerServices;
+    return servicesKnownSince == 0;
   }
 
   /** Returns this configuration as one that {@link #hasAllFormerServices() has all of them}. */
   public ForwardingConfiguration withAllFormerServices() {
-    return hasAllFormerServices
+    return knownSince(0);
+  }
+
+  private ForwardingConfiguration knownSince(long revision) {
+    return servicesKnownSince == revision
         ? this
-        : new ForwardingConfiguration(version, idleTimeoutMs, routes, coldStartsByService, true);
+        : new ForwardingConfiguration(
+            version, idleTimeoutMs, routes, coldStartsByService, revision);
   }
 
   /** Returns the version, or 0 if no configuration was read. */
--- a/core/src/main/java/io/moorstage/core/state/TargetRecord.java
+++ b/core/src/main/java/io/moorstage/core/state/TargetRecord.java
@@ -19,6 +19,8 @@
  * @param slowStartMs how long the target is slow after its start, in milliseconds
  * @param createdRevision the source's {@link Revision} at which the target was listed first, or
  *     again after its entry had expired; orders the starts of targets at one address
+ * @param createdAtStart whether this start is known to have been listed for the first time at
+ *     {@code createdRevision}
  * @param revision the source's {@link Revision} of this record
  */
 public record TargetRecord(
@@ -32,6 +34,7 @@
     boolean leaving,
     int slowStartMs,
     long createdRevision,
+    boolean createdAtStart,
     long revision) {
 
   /** Creates a record; a ready phase becomes draining if the start is leaving. */
@@ -64,6 +67,7 @@
         false,
         slowStartMs,
         createdRevision,
+        false,
         revision);
   }
 
@@ -89,6 +93,31 @@
     return with(TargetPhase.GONE, leaving, atRevision);
   }
 
+  /** Returns this record as one whose start was listed for the first time when it was created. */
+  public TargetRecord asCreatedAtStart() {
+    return new TargetRecord(
+        id,
+        startedAtMs,
+        service,
+        address,
+        zone,
+        capacity,
+        phase,
+        leaving,
+        slowStartMs,
+        createdRevision,
+        true,
+        revision);
+  }
+
+  /**
+   * Returns whether this start was listed for the first time after a revision, so that only nodes
+   * with a state beyond that revision can have opened flows at it.
+   */
+  public boolean isListedFirstAfter(long otherRevision) {
+    return createdAtStart && createdRevision > otherRevision;
+  }
+
   private TargetRecord with(TargetPhase otherPhase, boolean isLeaving, long atRevision) {
     return new TargetRecord(
         id,
@@ -101,6 +130,7 @@
         isLeaving,
         slowStartMs,
         createdRevision,
+        createdAtStart,
         atRevision);
   }
 
@@ -128,7 +158,12 @@
         startedAtMs > 0 && other.startedAtMs > 0
             || Revision.isOfEarlierEra(older.revision, newer.revision);
     boolean staysDraining = isSameStart && older.leaving && !newer.leaving;
-    return staysDraining ? newer.with(newer.phase, true, newer.revision) : newer;
+    TargetRecord merged = staysDraining ? newer.with(newer.phase, true, newer.revision) : newer;
+    boolean isSameListing =
+        startedAtMs == other.startedAtMs && createdRevision == other.createdRevision;
+    return isSameListing && older.createdAtStart && !newer.createdAtStart
+        ? merged.asCreatedAtStart()
+        : merged;
   }
 
   /**
--- a/core/src/test/java/io/moorstage/core/balancer/FlowLocatorRouteTest.java
+++ b/core/src/test/java/io/moorstage/core/balancer/FlowLocatorRouteTest.java
@@ -11,13 +11,16 @@
 import io.moorstage.core.message.GiveBackReason;
 import io.moorstage.core.placement.TargetPool;
 import io.moorstage.core.placement.TargetSlot;
+import io.moorstage.core.state.Evacuations;
 import io.moorstage.core.state.FleetState;
+import io.moorstage.core.state.ForwardingConfiguration;
 import io.moorstage.core.state.ForwardingRoute;
 import io.moorstage.core.state.TargetRecord;
 import io.moorstage.core.state.WeightedService;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.function.IntFunction;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -104,6 +107,19 @@
     balancer.onState(state, nowMs);
   }
 
+  /** Applies a configuration of which all versions are known since a revision of the source. */
+  private void applyRouteKnownSince(long revision) {
+    List<TargetRecord> listed = new ArrayList<>();
+    for (TargetRecord target : targets) {
+      listed.add(Fleet.listed(target.id(), target.service(), target.address(), 8));
+    }
+    listed.replaceAll(TargetRecord::asCreatedAtStart);
+    ForwardingConfiguration configuration =
+        new ForwardingConfiguration(2, 60_000, List.of(Fleet.routeTo(SERVICE)), Map.of(), revision);
+    state = FleetState.of(10, configuration, listed, Evacuations.NONE);
+    balancer.onState(state, nowMs);
+  }
+
   private void applyRouteMove() {
     applyRouteTo(1, FORMER);
     applyRouteTo(2, SERVICE);
@@ -345,6 +361,43 @@
     }
   }
 
+  // A balancer that knows a target also knows each configuration that was accepted before the
+  // target
+  // was listed. Otherwise each flow that is lost with all nodes and targets would wait for 65 s.
+  @Test
+  void targetThatStartedAfterTheEarliestKnownConfigurationDoesNotHoldAFlowOfAnotherService() {
+    reportAgents();
+    for (long knownSince : List.of(6L, 9L)) {
+      applyRouteKnownSince(knownSince);
+      FlowId flow = Fleet.flow((int) knownSince);
+      sendClientData(flow);
+      runSearch(flow, 0);
+    }
+    assertThat(actions.reset).containsExactly(Fleet.flow(6));
+  }
+
+  // Guards against searches that last until their end after a loss of all nodes and targets: they
+  // start as soon as a configuration is known, and the new targets are listed a moment later.
+  @Test
+  void targetThatIsListedDuringTheSearchIsRuledOutThen() {
+    reportAgents();
+    applyRouteTo(2, SERVICE);
+    sendClientData();
+    respondToAll(FlowQueryResult.UNKNOWN);
+    giveBackOffers(FLOW, 0);
+    assertThat(actions.reset).isEmpty();
+    applyRouteKnownSince(6);
+    long endOfSearchMs = nowMs + Fleet.POLICY.search().durationMs();
+    while (actions.reset.isEmpty() && nowMs < endOfSearchMs) {
+      nowMs += Fleet.POLICY.search().pauseMs();
+      balancer.onTick(nowMs);
+      respondToAll(FlowQueryResult.UNKNOWN);
+      giveBackOffers(FLOW, 0);
+    }
+    assertThat(actions.reset).containsExactly(FLOW);
+    assertThat(nowMs).isLessThan(endOfSearchMs);
+  }
+
   // Guards against three segments of an open flow at targets of its route's new service while the
   // holder of the former one gets none.
   @Test
--- a/core/src/test/java/io/moorstage/core/placement/TargetPoolsTest.java
+++ b/core/src/test/java/io/moorstage/core/placement/TargetPoolsTest.java
@@ -23,6 +23,7 @@
             false,
             0,
             1,
+            false,
             revision));
   }
 
--- a/core/src/test/java/io/moorstage/core/state/SourceErasTest.java
+++ b/core/src/test/java/io/moorstage/core/state/SourceErasTest.java
@@ -29,7 +29,7 @@
 
   private static TargetRecord started(long startedAtMs, TargetPhase phase, long revision) {
     return new TargetRecord(
-        "t1", startedAtMs, Fleet.SERVICE, 1, Fleet.ZONE, 2, phase, false, 0, 1, revision);
+        "t1", startedAtMs, Fleet.SERVICE, 1, Fleet.ZONE, 2, phase, false, 0, 1, false, revision);
   }
 
   private static StateChanges written(long revision, TargetRecord... targets) {
@@ -192,6 +192,7 @@
             false,
             0,
             afterRestore(3),
+            false,
             afterRestore(3));
     FleetState own =
         Fleet.state(beforeRestore(18), now).replaceBy(Fleet.state(afterRestore(16), ended));
--- a/forwarding/src/main/java/io/moorstage/forwarding/state/FleetStateCodec.java
+++ b/forwarding/src/main/java/io/moorstage/forwarding/state/FleetStateCodec.java
@@ -97,7 +97,7 @@
       out.writeInt(coldStart.getValue().durationMs());
       out.writeInt(coldStart.getValue().openingsPerS());
     }
-    out.writeBoolean(configuration.hasAllFormerServices());
+    out.writeLong(configuration.servicesKnownSince());
   }
 
   private static void writeTarget(TargetRecord target, DataOutputStream out) throws IOException {
@@ -111,6 +111,7 @@
     out.writeBoolean(target.leaving());
     out.writeInt(target.slowStartMs());
     out.writeLong(target.createdRevision());
+    out.writeBoolean(target.createdAtStart());
     out.writeLong(target.revision());
   }
 
@@ -179,7 +180,7 @@
               address, port, timeoutMs, repeatable, objectiveMs, priority, services));
     }
     return new ForwardingConfiguration(
-        version, idleTimeoutMs, routes, readColdStarts(in), in.readBoolean());
+        version, idleTimeoutMs, routes, readColdStarts(in), in.readLong());
   }
 
   private static Map<String, ColdStart> readColdStarts(DataInputStream in) throws IOException {
@@ -215,6 +216,7 @@
     boolean leaving = in.readBoolean();
     int slowStartMs = in.readInt();
     long createdRevision = in.readLong();
+    boolean createdAtStart = in.readBoolean();
     long revision = in.readLong();
     return new TargetRecord(
         id,
@@ -227,6 +229,7 @@
         leaving,
         slowStartMs,
         createdRevision,
+        createdAtStart,
         revision);
   }
 }
--- a/forwarding/src/test/java/io/moorstage/forwarding/state/SourceErasPropertiesTest.java
+++ b/forwarding/src/test/java/io/moorstage/forwarding/state/SourceErasPropertiesTest.java
@@ -116,7 +116,7 @@
     private static TargetRecord record(
         String id, long startedAtMs, int address, TargetPhase phase, long created, long revision) {
       return new TargetRecord(
-          id, startedAtMs, "tables", address, "z", 2, phase, false, 0, created, revision);
+          id, startedAtMs, "tables", address, "z", 2, phase, false, 0, created, false, revision);
     }
 
     private void expire(int target) {
--- a/forwarding/src/test/java/io/moorstage/forwarding/state/StateKeeperTest.java
+++ b/forwarding/src/test/java/io/moorstage/forwarding/state/StateKeeperTest.java
@@ -186,6 +186,24 @@
     assertThat(servicesIn(keeper.state())).contains(new WeightedService("a", 0));
   }
 
+  @Test
+  void listingOfATargetAtItsStartIsKnownToPeersAndAfterFurtherChanges()
+      throws StateSourceException {
+    StateKeeper keeper = keeperAt(stateAt(3, target("a", 1).asCreatedAtStart()));
+    keeper.apply(written(5, target("a", 5)), 0);
+    TargetRecord atPeer = FleetStateCodec.decode(keeper.encoded()).state().target("a");
+    assertThat(atPeer.isListedFirstAfter(0)).isTrue();
+    assertThat(atPeer.isListedFirstAfter(1)).isFalse();
+  }
+
+  @Test
+  void targetThatIsListedAgainIsNotKnownToHaveStartedThen() {
+    StateKeeper keeper = keeperAt(stateAt(3, target("a", 1).asCreatedAtStart()));
+    TargetRecord listedAgain = new TargetRecord("a", "s", 1, "z", 5, TargetPhase.READY, 0, 5, 5);
+    keeper.apply(written(5, listedAgain), 0);
+    assertThat(keeper.state().target("a").isListedFirstAfter(0)).isFalse();
+  }
+
   // ---- whether all former services are known ----
 
   private static FleetState firstWithRoute(long version, String service) {
--- a/lab/src/main/java/io/moorstage/lab/demo/DemoFleet.java
+++ b/lab/src/main/java/io/moorstage/lab/demo/DemoFleet.java
@@ -80,7 +80,7 @@
     TargetStart start =
         TargetStart.of(target.name(), target.service(), address, target.zone(), target.slotCount());
     targets.add(new WatchedTarget(start, monitor, new FixedRoutes(deployment)));
-    store.put(StoreKeys.target(start.id()), start.entry(false));
+    store.put(StoreKeys.target(start.id()), start.entry());
     processes.put(address, programs.startAgent(address, target.zone(), target.service()));
   }
 
@@ -117,7 +117,7 @@
   /** Marks a target as draining in the store. */
   void drain(WatchedTarget target) {
     target.setNoNewFlowsSince(System.currentTimeMillis());
-    store.put(StoreKeys.target(target.start().id()), target.start().entry(true));
+    store.put(StoreKeys.target(target.start().id()), target.start().laterEntry(true));
   }
 
   /** Records a breach for each program that has ended although it was not stopped. */
--- a/lab/src/main/java/io/moorstage/lab/edge/StoreJson.java
+++ b/lab/src/main/java/io/moorstage/lab/edge/StoreJson.java
@@ -87,8 +87,17 @@
     json.writeEndObject();
   }
 
-  /** Returns a target's entry. */
+  /** Returns a target's entry as of its first write. */
   public static String target(TargetEntry entry, boolean draining) {
+    return target(entry, draining, 1);
+  }
+
+  /**
+   * Returns a target's entry.
+   *
+   * @param sequence the number of the write since the target's start, counted from 1
+   */
+  public static String target(TargetEntry entry, boolean draining, int sequence) {
     return object(
         json -> {
           json.writeStringField("service", entry.service());
@@ -98,7 +107,7 @@
           json.writeNumberField("capacity", entry.slots());
           json.writeStringField("state", draining ? "draining" : "ready");
           json.writeNumberField("cold_remaining_ms", 0);
-          json.writeNumberField("sequence", 1);
+          json.writeNumberField("sequence", sequence);
           if (entry.startedAtMs() > 0) {
             json.writeNumberField("born", entry.startedAtMs());
           }
--- a/lab/src/main/java/io/moorstage/lab/soak/SoakFleet.java
+++ b/lab/src/main/java/io/moorstage/lab/soak/SoakFleet.java
@@ -140,7 +140,7 @@
     if (evacuated.contains(zone)) {
       target.setNoNewFlowsSince(System.currentTimeMillis());
     }
-    store.put(StoreKeys.target(start.id()), start.entry(false));
+    store.put(StoreKeys.target(start.id()), start.entry());
   }
 
   @Nullable
@@ -174,7 +174,7 @@
   synchronized void drain(WatchedTarget target) {
     target.setNoNewFlowsSince(System.currentTimeMillis());
     draining.add(target.start());
-    store.put(StoreKeys.target(target.start().id()), target.start().entry(true));
+    store.put(StoreKeys.target(target.start().id()), target.start().laterEntry(true));
   }
 
   /** Removes the entry of an ended target, unless its replacement has overwritten the entry. */
@@ -197,7 +197,7 @@
       if (target.isAlive()) {
         TargetStart start = target.start();
         liveKeys.add(StoreKeys.target(start.id()));
-        store.put(StoreKeys.target(start.id()), start.entry(draining.contains(start)));
+        store.put(StoreKeys.target(start.id()), start.laterEntry(draining.contains(start)));
       }
     }
     for (String zone : ZONES) {
--- a/lab/src/main/java/io/moorstage/lab/targets/TargetStart.java
+++ b/lab/src/main/java/io/moorstage/lab/targets/TargetStart.java
@@ -54,9 +54,18 @@
     return new TargetStart(id, service, address, zone, slots, sequenceOf(seed), atMs);
   }
 
-  /** Returns the value of this target's entry in the store. */
-  public String entry(boolean draining) {
+  /** Returns the value that this target writes to its entry in the store at its start. */
+  public String entry() {
+    return entry(false, 1);
+  }
+
+  /** Returns the value that this target writes to its entry later. */
+  public String laterEntry(boolean draining) {
+    return entry(draining, 2);
+  }
+
+  private String entry(boolean draining, int write) {
     return StoreJson.target(
-        new TargetEntry(service, address, Ports.APP, zone, slots, startedAtMs), draining);
+        new TargetEntry(service, address, Ports.APP, zone, slots, startedAtMs), draining, write);
   }
 }
--- a/lab/src/test/java/io/moorstage/lab/store/StandInStoreTest.java
+++ b/lab/src/test/java/io/moorstage/lab/store/StandInStoreTest.java
@@ -76,7 +76,7 @@
   @Test
   void watchReturnsTheChangesAfterTheGivenRevision() throws Exception {
     long before = reader.readAll().revision();
-    store.put(StoreKeys.target("t"), TARGET.entry(false));
+    store.put(StoreKeys.target("t"), TARGET.entry());
     StateChanges listed = reader.awaitChanges(before, 0);
     assertThat(listed.written()).hasSize(1);
     store.remove(StoreKeys.target("t"));
@@ -89,7 +89,7 @@
   @Test
   void watchFromBeforeACompactionFailsAsHistoryGone() throws Exception {
     long before = reader.readAll().revision();
-    store.put(StoreKeys.target("t"), TARGET.entry(false));
+    store.put(StoreKeys.target("t"), TARGET.entry());
     store.compact();
     assertThat(failureOf(before)).isEqualTo(StateSourceFailure.HISTORY_GONE);
   }
@@ -102,7 +102,7 @@
 
   @Test
   void replayingStoreReturnsChangesThatTheCallerHasReceived() throws Exception {
-    store.put(StoreKeys.target("t"), TARGET.entry(false));
+    store.put(StoreKeys.target("t"), TARGET.entry());
     long now = reader.readAll().revision();
     store.setMode(StoreMode.REPLAYING);
     assertThat(reader.awaitChanges(now, 0).written()).hasSize(1);
@@ -110,7 +110,7 @@
 
   @Test
   void restoredStoreRejectsAWatchFromARevisionThatItDoesNotHave() throws Exception {
-    store.put(StoreKeys.target("t"), TARGET.entry(false));
+    store.put(StoreKeys.target("t"), TARGET.entry());
     StoreCopy copy = store.copy();
     store.remove(StoreKeys.target("t"));
     long lost = reader.readAll().revision();
