Let no entry of a service that is not named hide a target or delay a search

Cause: of two targets at one address the one that was listed last counted, whatever its service, and a search of an unknown flow waited for the agents of all entries.

Change: a configuration knows the services that it names. A target of another service counts only where there is no other target at its address, and is used once a configuration names its service. If the balancer knows all services that routes have had, its agent is queried only if it has sent a beacon.

Evidence: entryOfAServiceThatTheConfigurationDoesNotNameHidesNoTarget, targetOfAFormerServiceOfARouteIsNotHiddenEither and lostFlowIsReset- ThoughAnEntryOfAServiceThatIsNotNamedIsListed fail before the change.

The states of the core's tests name the services of their targets.

--- a/core/src/main/java/io/moorstage/core/balancer/PossibleHolders.java
+++ b/core/src/main/java/io/moorstage/core/balancer/PossibleHolders.java
@@ -2,6 +2,7 @@
 
 import io.moorstage.core.placement.TargetPool;
 import io.moorstage.core.placement.TargetSlot;
+import io.moorstage.core.state.ForwardingConfiguration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -47,11 +48,24 @@
    */
   List<TargetSlot> allServicesInOrder(BalancerFlow flow, long nowMs) {
     Holders holders = new Holders(flow, nowMs);
-    tables.slots().forEach(holders::addListed);
+    for (TargetSlot slot : tables.slots()) {
+      if (mayBeTarget(slot)) {
+        holders.addListed(slot);
+      }
+    }
     tables.agents().all().forEach(holders::addUnlisted);
     return holders.inOrder();
   }
 
+  // An entry of another writer has no agent, and a search would wait for its response until its
+  // end.
+  private boolean mayBeTarget(TargetSlot slot) {
+    ForwardingConfiguration configuration = tables.configuration();
+    return configuration.names(slot.record().service())
+        || !configuration.hasAllFormerServices()
+        || tables.agents().get(slot.address()) != null;
+  }
+
   /** Returns whether the target at an address has ended, so that no search has to wait for it. */
   boolean hasEnded(int address, long nowMs) {
     return hasEnded(address, tables.isListed(address), nowMs);
--- a/core/src/main/java/io/moorstage/core/state/FleetState.java
+++ b/core/src/main/java/io/moorstage/core/state/FleetState.java
@@ -72,16 +72,23 @@
   }
 
   /**
-   * Returns the target at each address: the one that was listed last, of any service. Earlier ones
-   * at the address have ended, even if the source still lists them.
+   * Returns the target at each address: the one that was listed last, of any service that the
+   * configuration names. Earlier ones at the address have ended, even if the source still lists
+   * them. A target of a service that is not named may be an entry of another writer, and is
+   * returned only if there is no other target at its address.
    */
   public Map<Integer, TargetRecord> targetsByAddress() {
-    Map<Integer, TargetRecord> newest = new HashMap<>();
+    Map<Integer, TargetRecord> current = new HashMap<>();
     for (TargetRecord target : targets.values()) {
-      newest.merge(
-          target.address(), target, (known, other) -> other.supersedes(known) ? other : known);
+      current.merge(
+          target.address(), target, (known, other) -> replaces(other, known) ? other : known);
     }
-    return newest;
+    return current;
+  }
+
+  private boolean replaces(TargetRecord target, TargetRecord other) {
+    boolean isNamed = configuration.names(target.service());
+    return isNamed == configuration.names(other.service()) ? target.supersedes(other) : isNamed;
   }
 
   /** Returns a target, or null if it was never listed or its record has been evicted. */
--- a/core/src/main/java/io/moorstage/core/state/ForwardingConfiguration.java
+++ b/core/src/main/java/io/moorstage/core/state/ForwardingConfiguration.java
@@ -3,12 +3,13 @@
 import io.moorstage.core.flow.FlowId;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import javax.annotation.Nullable;
 
-/** An accepted configuration: routes, and the cold start limits of services. Immutable. */
+/** An accepted configuration: routes, and the services with their cold start limits. Immutable. */
 public final class ForwardingConfiguration {
   /** The value of {@link #servicesKnownSince} if not even this version's revision is known. */
   private static final long NOT_KNOWN = Long.MAX_VALUE;
@@ -21,6 +22,7 @@
   private final int idleTimeoutMs;
   private final List<ForwardingRoute> routes;
   private final Map<Long, ForwardingRoute> routesByKey;
+  private final Set<String> services;
   private final Map<String, ColdStart> coldStartsByService;
   private final long servicesKnownSince;
 
@@ -30,7 +32,8 @@
    * @param version the version, which increases with each accepted configuration; 0 for none
    * @param idleTimeoutMs how long a flow may be idle before it expires, in milliseconds
    * @param routes the routes; of two with the same address and port, the later one is used
-   * @param coldStartsByService the cold start limits of services that have one
+   * @param coldStartsByService the services that the configuration names apart from its routes,
+   *     each with its cold start limit or {@link ColdStart#UNLIMITED}
    */
   public ForwardingConfiguration(
       long version,
@@ -57,8 +60,10 @@
     this.coldStartsByService = Map.copyOf(coldStartsByService);
     this.servicesKnownSince = servicesKnownSince;
     this.routesByKey = new HashMap<>();
+    this.services = new HashSet<>(coldStartsByService.keySet());
     for (ForwardingRoute route : routes) {
       routesByKey.put(route.key(), route);
+      route.services().forEach(part -> services.add(part.service()));
     }
   }
 
@@ -177,7 +182,12 @@
     return routes;
   }
 
-  /** Returns the cold start limits of the services that have one. */
+  /** Returns whether this configuration names a service, be it one that a route has at weight 0. */
+  public boolean names(String service) {
+    return services.contains(service);
+  }
+
+  /** Returns the named services with their cold start limits; see the constructor. */
   public Map<String, ColdStart> coldStartsByService() {
     return coldStartsByService;
   }
--- a/core/src/test/java/io/moorstage/core/Fleet.java
+++ b/core/src/test/java/io/moorstage/core/Fleet.java
@@ -8,6 +8,7 @@
 import io.moorstage.core.message.ForwardTerms;
 import io.moorstage.core.message.GiveBackReason;
 import io.moorstage.core.settings.ForwardingPolicy;
+import io.moorstage.core.state.ColdStart;
 import io.moorstage.core.state.Evacuations;
 import io.moorstage.core.state.FleetState;
 import io.moorstage.core.state.ForwardingConfiguration;
@@ -18,6 +19,7 @@
 import io.moorstage.core.state.ZoneEvacuation;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -99,16 +101,22 @@
     return state(revision, version, List.of(routeTo(SERVICE)), List.of(targets));
   }
 
-  /** Returns a state with routes and targets. */
+  /** Returns a state with routes and targets; the configuration names all their services. */
   public static FleetState state(
       long revision, long version, List<ForwardingRoute> routes, List<TargetRecord> targets) {
     return FleetState.of(
         revision,
-        new ForwardingConfiguration(version, 60_000, routes, Map.of()),
+        new ForwardingConfiguration(version, 60_000, routes, servicesOf(targets)),
         targets,
         Evacuations.NONE);
   }
 
+  private static Map<String, ColdStart> servicesOf(List<TargetRecord> targets) {
+    Map<String, ColdStart> services = new HashMap<>();
+    targets.forEach(target -> services.put(target.service(), ColdStart.UNLIMITED));
+    return services;
+  }
+
   /** Returns a route of the flows of {@link #flow} to one service. */
   public static ForwardingRoute routeTo(String service) {
     return routeTo(new WeightedService(service, 1));
--- a/core/src/test/java/io/moorstage/core/balancer/FlowLocatorRouteTest.java
+++ b/core/src/test/java/io/moorstage/core/balancer/FlowLocatorRouteTest.java
@@ -475,6 +475,22 @@
     assertThat(actions.forwardedTo).containsExactly(HOLDER);
   }
 
+  // Guards against searches that wait until their end for an entry of another writer: there is no
+  // agent at its address.
+  @Test
+  void lostFlowIsResetThoughAnEntryOfAServiceThatIsNotNamedIsListed() {
+    reportAgents();
+    int foreign = 0x0A030099;
+    FleetState named = Fleet.state(7, 2, List.of(Fleet.routeTo(SERVICE)), targets);
+    targets.add(Fleet.listed("foreign", "inventory", foreign, 1));
+    state =
+        FleetState.of(7, named.configuration().withAllFormerServices(), targets, Evacuations.NONE);
+    balancer.onState(state, nowMs);
+    sendClientData();
+    respond(FLOW, agent -> agent == foreign ? null : FlowQueryResult.NOT_HELD);
+    assertThat(actions.reset).containsExactly(FLOW);
+  }
+
   // ---- a route that has been removed ----
 
   @Test
--- a/core/src/test/java/io/moorstage/core/state/FleetStateTest.java
+++ b/core/src/test/java/io/moorstage/core/state/FleetStateTest.java
@@ -4,6 +4,7 @@
 
 import io.moorstage.core.Fleet;
 import io.moorstage.core.placement.TargetPools;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
@@ -74,6 +75,39 @@
     assertThat(pools.ofService("bundles").at(1).record()).isEqualTo(now);
   }
 
+  private static FleetState stateNaming(List<String> services, TargetRecord... targets) {
+    Map<String, ColdStart> named = new HashMap<>();
+    services.forEach(service -> named.put(service, ColdStart.UNLIMITED));
+    ForwardingConfiguration configuration =
+        new ForwardingConfiguration(1, 60_000, List.of(Fleet.routeTo(Fleet.SERVICE)), named);
+    return FleetState.of(7, configuration, List.of(targets), Evacuations.NONE);
+  }
+
+  // Guards against targets out of use: an entry of another writer that was listed later counted as
+  // the target at its address, whatever its service.
+  @Test
+  void entryOfAServiceThatTheConfigurationDoesNotNameHidesNoTarget() {
+    TargetRecord target = Fleet.listed("target", Fleet.SERVICE, 1, 3);
+    TargetRecord foreign = Fleet.listed("foreign", "inventory", 1, 6);
+    TargetRecord other = Fleet.listed("other", "inventory", 2, 6);
+    assertThat(stateNaming(List.of(), target, foreign, other).targetsByAddress())
+        .containsExactly(1, target, 2, other);
+    assertThat(stateNaming(List.of("inventory"), target, foreign, other).targetsByAddress())
+        .containsExactly(1, foreign, 2, other);
+  }
+
+  // Its targets may hold open flows.
+  @Test
+  void targetOfAFormerServiceOfARouteIsNotHiddenEither() {
+    TargetRecord target = Fleet.listed("target", "chairs", 1, 3);
+    TargetRecord foreign = Fleet.listed("foreign", "inventory", 1, 6);
+    ForwardingConfiguration before =
+        new ForwardingConfiguration(1, 60_000, List.of(Fleet.routeTo("chairs")), Map.of());
+    FleetState state = stateNaming(List.of(), target, foreign);
+    assertThat(state.with(state.configuration().merge(before)).targetsByAddress())
+        .containsExactly(1, target);
+  }
+
   @Test
   void targetThatIsListedAgainAfterItsEntryExpiredIsReady() {
     TargetRecord first = Fleet.listed("t", Fleet.SERVICE, 1, 3);
