Send no data after two copies of an opening before the agents can respond

The limit of two unresolved segments did not count the copies.

Evidence: noDataFollowsTwoCopiesOfTheOpeningAtOtherTargetsBeforeTheAgents- CanRespond fails before the change (3 segments instead of 2). dataFollows- TwoCopiesOfTheOpeningOnceTheAgentsHaveHadTimeToRespond bounds the wait.

--- a/core/src/main/java/io/moorstage/core/balancer/BalancerFlow.java
+++ b/core/src/main/java/io/moorstage/core/balancer/BalancerFlow.java
@@ -252,6 +252,11 @@
     openingsNotGivenBack++;
   }
 
+  /** Returns how many copies of the opening may be at targets that do not hold the flow. */
+  int openingsAtOtherTargets() {
+    return missesEarlierCopies ? openingsNotGivenBack : openingsNotGivenBack - 1;
+  }
+
   /** Counts an opening segment that an agent has given back. */
   void countOpeningGivenBack() {
     openingsNotGivenBack--;
--- a/core/src/main/java/io/moorstage/core/balancer/FlowLocator.java
+++ b/core/src/main/java/io/moorstage/core/balancer/FlowLocator.java
@@ -202,6 +202,11 @@
     queries.queryFirstRound(search, nowMs);
     queries.queryHolder(search, target, nowMs);
     flow.assumeHolder(target);
+    if (flow.openingsAtOtherTargets() >= SearchOffers.MAX_UNRESOLVED_SEGMENTS) {
+      // With a further one, three segments would be at targets that may not hold the flow.
+      search.waitUntil(nowMs + settings.responseTimeoutMs());
+      return;
+    }
     // The target's agent reports the flow with its response to the request in most cases.
     search.waitUntil(nowMs + settings.pauseMs());
     unconfirmedHolders.sendHeld(search, nowMs);
@@ -368,6 +373,7 @@
   private void advance(Search search, long nowMs) {
     TargetSlot offeredTo = search.flow().offeredTo();
     if (search.flow().unconfirmedSearch() == search) {
+      unconfirmedHolders.sendHeld(search, nowMs);
       if (!unconfirmedHolders.continueQueries(search, nowMs)) {
         searches.remove(search);
       }
--- a/core/src/test/java/io/moorstage/core/balancer/UnconfirmedHolderTest.java
+++ b/core/src/test/java/io/moorstage/core/balancer/UnconfirmedHolderTest.java
@@ -117,6 +117,49 @@
     assertThat(misrouted(holder).size()).isAtMost(MAX_MISROUTED);
   }
 
+  private void sendOpening(int copy) {
+    Segment opening = Fleet.open(FLOW, copy);
+    balancer.onClientSegment(opening, Fleet.bytes(opening), nowMs);
+  }
+
+  /** Sends all copies of an opening, the later ones late; returns the target of the first one. */
+  private int sendOpeningAndLateCopies() {
+    sendOpening(0);
+    int first = actions.lastForwardedTo();
+    nowMs += 2_100;
+    sendOpening(1);
+    nowMs += 1_000;
+    sendOpening(2);
+    assertThat(actions.forwardedTo).hasSize(3);
+    assertThat(misrouted(first)).hasSize(2);
+    return first;
+  }
+
+  // Guards against three segments at other targets: a balancer without enough processor time has
+  // read two copies of the opening late, though the client had continued at the first target
+  // through another balancer.
+  @Test
+  void noDataFollowsTwoCopiesOfTheOpeningAtOtherTargetsBeforeTheAgentsCanRespond() {
+    int holder = sendOpeningAndLateCopies();
+    sendClientData();
+    assertThat(misrouted(holder)).hasSize(MAX_MISROUTED);
+
+    balancer.onQueryResult(holder, FLOW, FlowQueryResult.HELD, holder, nowMs);
+    assertThat(actions.forwardedTo).hasSize(4);
+    assertThat(actions.lastForwardedTo()).isEqualTo(holder);
+  }
+
+  @Test
+  void dataFollowsTwoCopiesOfTheOpeningOnceTheAgentsHaveHadTimeToRespond() {
+    sendOpeningAndLateCopies();
+    int last = actions.lastForwardedTo();
+    sendClientData();
+    nowMs += Fleet.POLICY.search().responseTimeoutMs();
+    balancer.onTick(nowMs);
+    assertThat(actions.forwardedTo).hasSize(4);
+    assertThat(actions.lastForwardedTo()).isEqualTo(last);
+  }
+
   // The holder's agent has restarted, so that any target may hold the flow.
   @Test
   void fewSegmentsAreSentWhileReturnedSegmentsAreUnread() {
