Do not hold back segments for targets of services that the route never had

Cause: keep each target of another service whose agent does not know the flow, and drop those that are ruled out only before the next offer. In a search whose flow has an unconfirmed target there is no further offer, so its segments stayed limited to two in a fleet that knows all services of its routes, and each search kept a list of all targets of other services.

Change: a target is kept only if it may hold the flow at that moment, and the list is examined again at each step of such a search, too.

--- a/core/src/main/java/io/moorstage/core/balancer/FlowLocator.java
+++ b/core/src/main/java/io/moorstage/core/balancer/FlowLocator.java
@@ -373,6 +373,7 @@
   private void advance(Search search, long nowMs) {
     TargetSlot offeredTo = search.flow().offeredTo();
     if (search.flow().unconfirmedSearch() == search) {
+      offers.removeRuledOut(search);
       unconfirmedHolders.sendHeld(search, nowMs);
       if (!unconfirmedHolders.continueQueries(search, nowMs)) {
         searches.remove(search);
--- a/core/src/main/java/io/moorstage/core/balancer/SearchOffers.java
+++ b/core/src/main/java/io/moorstage/core/balancer/SearchOffers.java
@@ -73,7 +73,9 @@
     if (result == FlowQueryResult.NOT_HELD) {
       search.exclude(slot.address());
     } else if (!tables.mayHold(search.flow(), slot.record().service())) {
-      search.addOfUnknownVersion(slot);
+      if (tables.mayHoldByUnknownVersion(slot.address())) {
+        search.addOfUnknownVersion(slot);
+      }
     } else if (isCandidate(search, slot, result)) {
       search.addCandidate(slot);
     }
@@ -89,14 +91,21 @@
     return result == FlowQueryResult.UNKNOWN;
   }
 
+  /**
+   * Removes targets of other services that can't hold the flow by what has become known since their
+   * agents responded: which services its route has had, and when a target started.
+   */
+  void removeRuledOut(Search search) {
+    search.removeOfUnknownVersions(address -> !tables.mayHoldByUnknownVersion(address));
+  }
+
   /**
    * Offers a segment to the next candidate, or pauses the search at the end of a batch.
    *
    * @return false if no target may be offered a segment now
    */
   boolean offerNext(Search search, long nowMs) {
-    // Which services the route has had, and when a target started, may have become known meanwhile.
-    search.removeOfUnknownVersions(address -> !tables.mayHoldByUnknownVersion(address));
+    removeRuledOut(search);
     boolean speculative = search.hasUnresponsive() || search.hasNotOfferable();
     if (search.candidateCount() == 0 || !maySend(search.flow(), speculative)) {
       return false;
--- a/core/src/test/java/io/moorstage/core/balancer/FlowLocatorRouteTest.java
+++ b/core/src/test/java/io/moorstage/core/balancer/FlowLocatorRouteTest.java
@@ -398,6 +398,42 @@
     assertThat(nowMs).isLessThan(endOfSearchMs);
   }
 
+  // Guards against segments held back from the only target that may hold the flow: agents of
+  // services that its route has never had counted as agents of possible holders.
+  @Test
+  void agentsOfServicesThatTheRouteHasNeverHadDoNotLimitTheSegmentsOfAFlow() {
+    reportAgents();
+    applyFirstRouteTo(2, SERVICE);
+    openAtTwoTargets();
+    int last = actions.lastForwardedTo();
+    sendClientData();
+    for (int i = 0; i < ALL_TARGETS; i++) {
+      respond(
+          FLOW,
+          agent ->
+              agent == last || agent < ADDRESS
+                  ? FlowQueryResult.UNKNOWN
+                  : FlowQueryResult.NOT_HELD);
+      nowMs += Fleet.POLICY.search().responseTimeoutMs();
+      balancer.onTick(nowMs);
+    }
+    int sentBefore = actions.forwardedTo.size();
+    for (int i = 0; i < 2 * SearchOffers.MAX_SPECULATIVE_SEGMENTS; i++) {
+      sendClientData();
+    }
+    assertThat(actions.forwardedTo.size() - sentBefore)
+        .isEqualTo(2 * SearchOffers.MAX_SPECULATIVE_SEGMENTS);
+  }
+
+  private void openAtTwoTargets() {
+    for (int copy = 0; copy < 2; copy++) {
+      Segment opening = Fleet.open(FLOW, copy);
+      balancer.onClientSegment(opening, Fleet.bytes(opening), nowMs);
+      nowMs += 2_100;
+    }
+    assertThat(new HashSet<>(actions.forwardedTo)).hasSize(2);
+  }
+
   // Guards against three segments of an open flow at targets of its route's new service while the
   // holder of the former one gets none.
   @Test
