--- a/review/standins-2/review2/Case.java
+++ b/review/standins-2/review2/Case.java
@@ -19,7 +19,7 @@
             case "rolling" -> new RollingRestart();
             case "port-pool" -> new PortPool();
             case "big-entries" -> new BigEntries();
-            case "copies" -> new Copies();
+            case "successor" -> new Successor();
             default -> throw new IllegalArgumentException(arguments[0]);
           };
       code = body.run(arguments[1]) ? 1 : 0;
--- a/review/standins-2/review2/Router.java
+++ b/review/standins-2/review2/Router.java
@@ -4,20 +4,28 @@
 import java.net.HttpURLConnection;
 import java.net.InetSocketAddress;
 import java.net.URL;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 
-/** The routers of a zone: probe readiness twice a second, and hash flows steadily. */
+/**
+ * The routers of a zone: probe readiness twice a second, and hash flows steadily over the balancers
+ * of the zone that are in; over those of the other zone if none is.
+ */
 final class Router implements AutoCloseable {
   private final Map<String, InetSocketAddress> in = new ConcurrentHashMap<>();
   private final Net net;
+  private final List<String> ofZone;
   private volatile boolean closed;
 
-  Router(Net net, List<String> balancers) {
+  Router(Net net, List<String> ofZone, List<String> ofOtherZone) {
     this.net = net;
-    for (String balancer : balancers) {
+    this.ofZone = List.copyOf(ofZone);
+    List<String> all = new ArrayList<>(ofZone);
+    all.addAll(ofOtherZone);
+    for (String balancer : all) {
       Thread thread = new Thread(() -> probe(balancer), "router");
       thread.setDaemon(true);
       thread.start();
@@ -58,7 +66,8 @@
   }
 
   InetSocketAddress of(int address, int port, int toPort) {
-    String best = best(in.keySet(), address, port, toPort);
+    List<String> near = ofZone.stream().filter(in::containsKey).toList();
+    String best = best(near.isEmpty() ? in.keySet() : near, address, port, toPort);
     return best == null ? null : in.get(best);
   }
 
--- a/review/standins-2/review2/World.java
+++ b/review/standins-2/review2/World.java
@@ -64,21 +64,33 @@
 
   /** Starts a target and the agent beside it. */
   Target target(int host, String id, String service, int workMs) throws IOException {
+    return target(host, id, service, "z1", workMs);
+  }
+
+  Target target(int host, String id, String service, String zone, int workMs) throws IOException {
     String address = net.address(host);
-    Target target = new Target(net, id, service, "z1", address, workMs, store, record, listener);
+    Target target = new Target(net, id, service, zone, address, workMs, store, record, listener);
     targets.put(id, target);
-    fleet.agent(address, "z1", service);
+    fleet.agent(address, zone, service);
     return target;
   }
 
   /** Starts the balancers, and waits until the routers use all of them. */
   void startBalancers() throws IOException, InterruptedException {
+    startBalancers(List.of());
+  }
+
+  /** The same, with further balancers in the zone z2; the client is in z1. */
+  void startBalancers(List<String> ofOtherZone) throws IOException, InterruptedException {
     for (String balancer : balancers) {
       fleet.balancer(balancer, "z1");
     }
-    router = new Router(net, balancers);
+    for (String balancer : ofOtherZone) {
+      fleet.balancer(balancer, "z2");
+    }
+    router = new Router(net, balancers, ofOtherZone);
     long endNs = System.nanoTime() + 20_000_000_000L;
-    while (router.count() < balancers.size()) {
+    while (router.count() < balancers.size() + ofOtherZone.size()) {
       if (System.nanoTime() > endNs) {
         throw new IOException("the balancers are not ready");
       }
